--- /dev/null
+++ b/modules/carawayshelf_admission/admission_gate.cpp
@@ -0,0 +1,114 @@
+#include "carawayshelf_admission/admission_gate.hpp"
+
+#include <algorithm>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+/** Share of the queue that a class may fill, in quarters. */
+std::size_t queue_quarters(service_class traffic_class)
+{
+    switch (traffic_class)
+    {
+    case service_class::critical:
+        return 4;
+    case service_class::normal:
+        return 2;
+    case service_class::deferrable:
+        return 1;
+    }
+    return 1;
+}
+
+} // namespace
+
+void admission_gate::configure(const service_entry& entry, std::uint32_t share)
+{
+    slots_ = std::max<std::size_t>(1, std::min(entry.limits.server_slots, share));
+    queue_length_ = entry.limits.server_queue * queue_quarters(entry.traffic_class) / 4;
+    ramp_.configure(entry.limits.ramp_start_per_s, std::chrono::milliseconds(entry.limits.ramp_ms));
+}
+
+void admission_gate::server_started(time_point now)
+{
+    ramp_.restart(now);
+}
+
+gate_decision admission_gate::submit(time_point now, const exchange_key& key, time_point deadline)
+{
+    if (deadline <= now)
+    {
+        return {gate_verdict::refuse, refusal_reason::deadline_passed};
+    }
+    if (running_ < slots_ && waiting_.empty() && ramp_.try_admit(now))
+    {
+        ++running_;
+        return {gate_verdict::run, {}};
+    }
+    if (waiting_.size() >= queue_length_)
+    {
+        return {gate_verdict::refuse,
+                ramp_.is_cold(now) ? refusal_reason::server_cold : refusal_reason::queue_full};
+    }
+    waiting_.emplace(deadline, key);
+    return {gate_verdict::queue, {}};
+}
+
+void admission_gate::finished()
+{
+    running_ -= running_ > 0 ? 1 : 0;
+}
+
+std::optional<exchange_key> admission_gate::next(time_point now)
+{
+    if (running_ >= slots_ || waiting_.empty() || waiting_.begin()->first <= now ||
+        !ramp_.try_admit(now))
+    {
+        return std::nullopt;
+    }
+    const exchange_key key = waiting_.begin()->second;
+    waiting_.erase(waiting_.begin());
+    ++running_;
+    return key;
+}
+
+std::vector<exchange_key> admission_gate::expire(time_point now)
+{
+    std::vector<exchange_key> expired;
+    while (!waiting_.empty() && waiting_.begin()->first <= now)
+    {
+        expired.push_back(waiting_.begin()->second);
+        waiting_.erase(waiting_.begin());
+    }
+    return expired;
+}
+
+bool admission_gate::cancel(const exchange_key& key)
+{
+    const auto found = std::find_if(waiting_.begin(), waiting_.end(),
+                                    [&key](const std::pair<const time_point, exchange_key>& item)
+                                    { return item.second == key; });
+    if (found == waiting_.end())
+    {
+        return false;
+    }
+    waiting_.erase(found);
+    return true;
+}
+
+std::vector<exchange_key> admission_gate::reset()
+{
+    std::vector<exchange_key> dropped;
+    for (const std::pair<const time_point, exchange_key>& item : waiting_)
+    {
+        dropped.push_back(item.second);
+    }
+    waiting_.clear();
+    running_ = 0;
+    return dropped;
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_admission/agent_core.hpp
@@ -0,0 +1,188 @@
+#pragma once
+
+#include "carawayshelf_admission/admission_gate.hpp"
+#include "carawayshelf_admission/agent_counters.hpp"
+#include "carawayshelf_admission/agent_port.hpp"
+#include "carawayshelf_admission/echo_minter.hpp"
+#include "carawayshelf_admission/exchange_memory.hpp"
+#include "carawayshelf_admission/flow_table.hpp"
+#include "carawayshelf_catalogue/change.hpp"
+#include "carawayshelf_catalogue/subscriber_table.hpp"
+#include "carawayshelf_wire/coap_message.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace carawayshelf
+{
+
+/** How an agent behaves, but for what the catalogue says. */
+struct agent_settings
+{
+    duration flow_idle = std::chrono::seconds(300);      ///< A quiet flow is forgotten after this.
+    duration default_deadline = std::chrono::seconds(5); ///< For requests that name none.
+    duration server_timeout = std::chrono::seconds(30);  ///< A running request is given up.
+    duration hint_interval = std::chrono::milliseconds(100);
+    duration balancer_fresh = std::chrono::seconds(3); ///< A balancer heard from since is live.
+    bool use_second_choice = true;
+};
+
+/** The state machine of one agent: it owns the flows of its backend server and is the last gate in
+    front of it.
+
+    Pass in every datagram, every table update and the time; it answers through its agent_port.
+    Not thread-safe.
+*/
+class agent_core
+{
+public:
+    /** @param epoch_secret  random and new at each start; copies of requests that an epoch before
+                             let in never run again
+        @param counters      outlives the core */
+    agent_core(const agent_settings& settings, std::uint64_t epoch_secret, agent_port& port,
+               agent_counters& counters);
+
+    /** Takes the agent's slice in. The member is its own number, zero before control gave one. */
+    void take_table(time_point now, const subscriber_table& table, const std::string& service,
+                    member_id self);
+
+    void receive_envelope(time_point now, const envelope& header, std::string_view datagram);
+
+    void receive_from_server(time_point now, const flow_key& key, std::string_view datagram);
+
+    /** The backend server has announced a start. */
+    void server_started(time_point now);
+
+    /** The backend server's port is closed. */
+    void server_down(time_point now);
+
+    /** The backend server leaves, or stays after all. */
+    void set_draining(bool draining);
+
+    /** Lets time pass; call at least every few milliseconds while requests wait. */
+    void tick(time_point now);
+
+    /** Buckets that this agent holds no flow of, though it is listed as an earlier owner. */
+    std::vector<released_bucket> releasable_buckets() const;
+
+    /** Newest generation that any envelope carried. */
+    generation newest_seen() const
+    {
+        return newest_seen_;
+    }
+
+    /** Flows that the agent holds itself. */
+    std::size_t flow_count() const
+    {
+        return flows_.size() - placed_count_;
+    }
+
+    /** Whether a planned stop may end now: nothing runs, waits or feeds. */
+    bool is_quiet() const;
+
+    /** Whether it holds this flow itself. */
+    bool holds(const flow_key& key) const;
+
+    const admission_gate& gate() const
+    {
+        return gate_;
+    }
+
+    bool is_cold(time_point now) const
+    {
+        return gate_.ramp().is_cold(now);
+    }
+
+    std::size_t remembered_exchanges() const
+    {
+        return memory_.size();
+    }
+
+private:
+    struct known_load
+    {
+        std::uint32_t flows = 0;
+        time_point heard;
+    };
+
+    flow* find_flow(const flow_key& key);
+    void learn_row(const envelope& header);
+    void note_balancer(time_point now, const envelope& header);
+    bool pass_by_pointer(const envelope& header, std::string_view datagram, flow& held);
+    void pass_on(const envelope& header, std::string_view datagram, member_id next,
+                 envelope_kind kind, bool add_visit);
+    void adopt(time_point now, const envelope& header, std::string_view datagram);
+    bool try_place(time_point now, const envelope& header, std::string_view datagram, bool forced);
+    void answer_without_flow(const envelope& header, const coap_message& parsed);
+    void handle_message(time_point now, const envelope& header, const coap_message& parsed,
+                        std::string_view datagram, flow& held);
+    void handle_request(time_point now, const envelope& header, const coap_message& parsed,
+                        std::string_view datagram, flow& held);
+    void handle_reset(const flow_key& key, const coap_message& parsed, flow& held);
+    void handle_duplicate(const flow_key& key, const exchange& known);
+    bool check_echo(time_point now, const flow_key& key, const coap_message& parsed,
+                    exchange& record);
+    void submit(time_point now, const flow_key& key, const coap_message& parsed,
+                std::string_view datagram, exchange& record, flow& held);
+    void run(time_point now, const exchange_key& key, exchange& record);
+    void run_waiting(time_point now);
+    void answer(const exchange_key& key, exchange& record, const coap_message& reply);
+    void refuse(const exchange_key& key, exchange& record, refusal_reason reason);
+    void answer_unknown(const exchange_key& key, exchange& record, const char* why);
+    coap_message make_reply(const exchange_key& key, const exchange& record, std::uint8_t code);
+    void finish(time_point now, const exchange_key& key, std::string_view datagram,
+                const coap_message& parsed, flow& held);
+    void update_feed(const exchange& record, const coap_message& parsed, flow& held);
+    bool relay_notification(const flow_key& key, std::string_view datagram,
+                            const coap_message& parsed, flow& held);
+    void end_feeds(const flow_key& key, flow& held);
+    void end_feeds_everywhere();
+    void give_up_running(const char* why);
+    void drop_open(const exchange_key& key);
+    void send_to_caller(const flow_key& key, const flow& held, std::string_view datagram);
+    void send_reply(const flow_key& key, const endpoint& via, std::string_view datagram);
+    endpoint live_balancer(const endpoint& preferred) const;
+    void drop(agent_drop reason);
+    void leave_service(time_point now);
+    void expire_flows(time_point now);
+    void give_up_slow(time_point now);
+    void send_hints(time_point now);
+    std::optional<refusal_reason> reason_against_adopting() const;
+    std::uint32_t load() const;
+
+    agent_settings settings_;
+    agent_port& port_;
+    agent_counters& counters_;
+    echo_minter minter_;
+
+    member_id self_ = 0;
+    service_id service_ = 0;
+    service_entry entry_;
+    std::string service_name_;
+    generation held_ = 0;
+    generation newest_seen_ = 0;
+    generation tenure_from_ = 0;
+    bool out_of_service_ = false;
+    bool draining_ = false;
+    bool server_up_ = false;
+    std::vector<bucket_row> rows_;
+    std::unordered_map<member_id, endpoint> addresses_;
+    std::unordered_map<member_id, member_state> states_;
+    std::unordered_map<member_id, known_load> loads_;
+    std::unordered_map<endpoint, time_point> balancers_;
+
+    flow_table flows_;
+    std::size_t placed_count_ = 0;
+    exchange_memory memory_;
+    admission_gate gate_;
+    std::vector<exchange_key> running_;
+    std::uint16_t next_message_id_ = 1;
+    time_point now_;
+    time_point next_hint_;
+    time_point next_expiry_;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_admission/echo_minter.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "carawayshelf_core/clock_time.hpp"
+#include "carawayshelf_steering/flow_key.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace carawayshelf
+{
+
+/** What an Echo value says about its request. */
+enum class echo_verdict
+{
+    valid,   ///< This epoch minted it for this flow, not long ago.
+    expired, ///< This epoch minted it for this flow, too long ago.
+    foreign  ///< Anything else: another epoch, another flow, or made up.
+};
+
+/** Mints and checks the Echo values (RFC 9175) of one epoch of an agent. A non-idempotent request
+    runs only with a valid one, so a copy that reaches another agent, or the next epoch, never runs.
+    Thread-safe. */
+class echo_minter
+{
+public:
+    /** How long a value stays valid; shorter than answers are remembered, so that a late copy of
+        an answered request is always recognised. */
+    static constexpr duration lifetime = std::chrono::seconds(120);
+
+    /** @param secret  random, and different for each epoch */
+    explicit echo_minter(std::uint64_t secret);
+
+    std::string mint(time_point now, const flow_key& flow) const;
+
+    echo_verdict check(time_point now, const flow_key& flow, std::string_view value) const;
+
+private:
+    std::uint64_t sign(std::uint64_t minted_us, const flow_key& flow) const;
+
+    std::uint64_t secret_;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_admission/exchange_memory.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "carawayshelf_core/clock_time.hpp"
+#include "carawayshelf_steering/flow_key.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace carawayshelf
+{
+
+/** Identity of a request: its flow and message ID (RFC 7252, section 4.5). */
+struct exchange_key
+{
+    flow_key flow;
+    std::uint16_t message_id = 0;
+};
+
+inline bool operator==(const exchange_key& a, const exchange_key& b)
+{
+    return a.flow == b.flow && a.message_id == b.message_id;
+}
+
+struct exchange_key_hash
+{
+    std::size_t operator()(const exchange_key& key) const noexcept
+    {
+        return static_cast<std::size_t>(hash_of(key.flow) ^
+                                        (key.message_id * 0x9E3779B97F4A7C15ULL));
+    }
+};
+
+enum class exchange_state
+{
+    queued,   ///< Waits for a slot of the backend server.
+    running,  ///< The backend server has it.
+    answered, ///< The answer is kept for duplicates.
+};
+
+/** One request and what became of it. */
+struct exchange
+{
+    exchange_state state = exchange_state::queued;
+    bool confirmable = true;
+    bool non_idempotent = false;
+    bool observes = false;
+    std::string token;
+    std::string datagram; ///< The request while queued, the answer once answered.
+    time_point arrived;
+    time_point deadline;
+};
+
+/** Remembers requests for the protocol's exchange lifetime, so that a duplicate gets the same
+    answer and never a second run. Not thread-safe. */
+class exchange_memory
+{
+public:
+    /** EXCHANGE_LIFETIME of RFC 7252, section 4.8.2. */
+    static constexpr duration lifetime = std::chrono::seconds(247);
+
+    /** The exchange of a key, or nullptr. */
+    exchange* find(const exchange_key& key);
+
+    /** Adds an exchange. Precondition: the key isn't known. */
+    exchange& add(time_point now, const exchange_key& key);
+
+    /** Forgets what is older than the lifetime, but for exchanges that are not answered yet. */
+    void expire(time_point now);
+
+    std::size_t size() const
+    {
+        return exchanges_.size();
+    }
+
+private:
+    std::unordered_map<exchange_key, exchange, exchange_key_hash> exchanges_;
+    std::deque<std::pair<time_point, exchange_key>> by_age_;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_admission/flow_table.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "carawayshelf_core/clock_time.hpp"
+#include "carawayshelf_steering/flow_key.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace carawayshelf
+{
+
+/** A feed (RFC 7641) that a flow observes. */
+struct feed
+{
+    std::string token;
+    std::uint16_t last_notification = 0; ///< Its message ID, which a Reset would name.
+};
+
+/** A request of a flow that the agent has not answered yet. */
+struct open_request
+{
+    std::string token;
+    std::uint16_t message_id = 0;
+};
+
+/** One flow that an agent owns, or that it placed on another agent. */
+struct flow
+{
+    endpoint reply_to; ///< Balancer that relayed it last.
+    time_point last_seen;
+    generation adopted_at = 0; ///< Generation that the agent held when it took the flow on.
+    member_id placed_on = 0;   ///< Agent that has the flow in this one's stead, or zero.
+    std::vector<feed> feeds;
+    std::vector<open_request> open;
+    /** Message IDs of the last separate answers, oldest first, to know retransmissions by. */
+    std::vector<std::uint16_t> answer_ids;
+
+    bool has_answered_as(std::uint16_t message_id) const
+    {
+        return std::find(answer_ids.begin(), answer_ids.end(), message_id) != answer_ids.end();
+    }
+
+    void note_answer_id(std::uint16_t message_id)
+    {
+        constexpr std::size_t most_remembered = 4;
+        if (answer_ids.size() == most_remembered)
+        {
+            answer_ids.erase(answer_ids.begin());
+        }
+        answer_ids.push_back(message_id);
+    }
+
+    bool is_busy() const
+    {
+        return !feeds.empty() || !open.empty();
+    }
+};
+
+/** The flows of an agent, counted by bucket. Not thread-safe. */
+class flow_table
+{
+public:
+    using map_type = std::unordered_map<flow_key, flow>;
+
+    /** The flow of a key, or nullptr. */
+    flow* find(const flow_key& key);
+
+    /** Adds a flow. Precondition: the key isn't known. */
+    flow& add(const flow_key& key);
+
+    void remove(const flow_key& key);
+
+    /** Removes the flows that a predicate picks, telling another function of each before. */
+    void remove_if(const std::function<bool(const flow_key&, const flow&)>& picks,
+                   const std::function<void(const flow_key&, flow&)>& before_removal);
+
+    std::size_t count_in_bucket(std::uint16_t bucket) const
+    {
+        return by_bucket_[bucket];
+    }
+
+    std::size_t size() const
+    {
+        return flows_.size();
+    }
+
+    map_type& all()
+    {
+        return flows_;
+    }
+
+    const map_type& all() const
+    {
+        return flows_;
+    }
+
+private:
+    map_type flows_;
+    std::array<std::uint32_t, buckets_per_service> by_bucket_{};
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_admission/start_ramp.cpp
@@ -0,0 +1,77 @@
+#include "carawayshelf_admission/start_ramp.hpp"
+
+#include <algorithm>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+constexpr double final_factor = 10.0;
+constexpr double first_permit = 1.0;
+
+double seconds(duration length)
+{
+    return std::chrono::duration<double>(length).count();
+}
+
+} // namespace
+
+void start_ramp::configure(std::uint32_t start_per_s, duration length)
+{
+    start_per_s_ = start_per_s;
+    length_ = length;
+}
+
+void start_ramp::restart(time_point now)
+{
+    started_ = now;
+    running_ = true;
+    admitted_ = 0;
+}
+
+bool start_ramp::is_cold(time_point now) const
+{
+    return running_ && now - started_ < length_;
+}
+
+double start_ramp::permitted_since_start(time_point now) const
+{
+    // The integral of a rate that grows linearly from start_per_s to final_factor times as much.
+    const double elapsed = seconds(std::max(duration{0}, now - started_));
+    const double share = elapsed / seconds(length_);
+    return first_permit + start_per_s_ * elapsed * (1.0 + (final_factor - 1.0) * share / 2.0);
+}
+
+double start_ramp::allowed_until(time_point now) const
+{
+    return permitted_since_start(now);
+}
+
+bool start_ramp::try_admit(time_point now)
+{
+    if (!is_cold(now))
+    {
+        return true;
+    }
+    if (admitted_ + 1.0 > permitted_since_start(now))
+    {
+        return false;
+    }
+    admitted_ += 1.0;
+    return true;
+}
+
+duration start_ramp::wait_time(time_point now) const
+{
+    if (!is_cold(now))
+    {
+        return duration{0};
+    }
+    const double missing = std::max(0.0, admitted_ + 1.0 - permitted_since_start(now));
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(missing / start_per_s_));
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_catalogue/carawayshelf_catalogue.hpp
@@ -0,0 +1,16 @@
+/** @file
+    Module carawayshelf_catalogue: the replicated state and the changes to it.
+
+    Purpose: catalogue entries with their validation, failure domain marks, members, and the
+    deterministic state machine that every control instance applies the log to.
+    Dependencies: carawayshelf_core, carawayshelf_steering. Does no input or output.
+*/
+#pragma once
+
+#include "carawayshelf_catalogue/change.hpp"
+#include "carawayshelf_catalogue/cluster_state.hpp"
+#include "carawayshelf_catalogue/entry_validation.hpp"
+#include "carawayshelf_catalogue/member.hpp"
+#include "carawayshelf_catalogue/service_entry.hpp"
+#include "carawayshelf_catalogue/subscriber_table.hpp"
+#include "carawayshelf_catalogue/table_update.hpp"
--- /dev/null
+++ b/modules/carawayshelf_catalogue/cluster_state.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "carawayshelf_catalogue/change.hpp"
+#include "carawayshelf_catalogue/table_update.hpp"
+#include "carawayshelf_steering/bucket_row.hpp"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace carawayshelf
+{
+
+/** A service in the replicated state. */
+struct service_state
+{
+    service_id id = 0;
+    service_entry entry;
+    std::uint64_t version = 0;
+    generation changed_at = 0; ///< Entry or any row.
+    generation entry_changed_at = 0;
+    std::vector<bucket_row> rows;
+};
+
+/** Whether a failure domain is in service, and since when. */
+struct domain_state
+{
+    bool out = false;
+    generation changed_at = 0;
+};
+
+/** The replicated state: a deterministic function of the log.
+
+    Every control instance applies the same changes in the same order and so holds the same state;
+    the bucket assignment is part of it, so a new leader neither reverts nor reshuffles anything.
+    Not thread-safe.
+*/
+class cluster_state
+{
+public:
+    /** Everything in it, for snapshots. */
+    struct contents
+    {
+        generation held = 0;
+        service_id last_service = 0;
+        member_id last_member = 0;
+        generation horizon = 0; ///< Removals up to this generation are forgotten.
+        std::map<std::string, service_state> services;
+        std::map<member_id, member> members;
+        std::map<std::string, domain_state> domains;
+        std::map<std::string, std::uint64_t> removed_names; ///< Version that removed each name.
+        std::deque<std::pair<generation, service_id>> removed_services;
+        std::deque<std::pair<generation, member_id>> removed_members;
+        std::deque<std::pair<change_id, change_result>> answers; ///< Oldest first.
+    };
+
+    cluster_state() = default;
+
+    explicit cluster_state(contents from);
+
+    /** Applies one committed change. Refusals are results too and leave the tables as they are.
+        Precondition: the generation is higher than that of any change before. */
+    change_result apply(generation now, const change& edit);
+
+    /** What a subscriber at a generation lacks. A subscriber of a single service gets only that one
+        and its members; an empty name asks for all. */
+    table_update collect_update(generation since, const std::string& only_service) const;
+
+    /** Whether a subscriber at this generation can get a delta of collect_update. */
+    bool is_behind(generation since) const
+    {
+        return since < data_.held;
+    }
+
+    /** Version to expect of a service name: of the entry, of its removal, or zero. */
+    std::uint64_t version_of(const std::string& service) const;
+
+    const contents& data() const
+    {
+        return data_;
+    }
+
+    /** The service of a name, or nullptr. */
+    const service_state* find_service(const std::string& name) const;
+
+private:
+    change_result apply_edit(generation now, const put_service& edit);
+    change_result apply_edit(generation now, const remove_service& edit);
+    change_result apply_edit(generation now, const mark_domain& edit);
+    change_result apply_edit(generation now, const announce_member& edit);
+    change_result apply_edit(generation now, const set_member_state& edit);
+    change_result apply_edit(generation now, const retire_member& edit);
+    change_result apply_edit(generation now, const release_buckets& edit);
+
+    change_result check_put(const put_service& edit) const;
+    void reassign(generation now, const std::string& service);
+    void remember_answer(change_id id, const change_result& result);
+    void forget_old_removals();
+    service_update update_of(const service_state& service, generation since) const;
+
+    contents data_;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_catalogue/member.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "carawayshelf_core/endpoint.hpp"
+#include "carawayshelf_core/identifiers.hpp"
+#include "carawayshelf_core/name_table.hpp"
+
+#include <string>
+
+namespace carawayshelf
+{
+
+/** Condition of a member's backend server, as its agent reports it. */
+enum class member_state
+{
+    cold,    ///< Just started; gets a small share of new flows.
+    warm,    ///< Gets its full share of new flows.
+    draining ///< Leaves; gets no new flows and keeps its established ones.
+};
+
+inline constexpr name_table<member_state, 3> member_state_names{{"cold", "warm", "draining"}};
+
+/** One incarnation of an agent with its backend server. */
+struct member
+{
+    member_id id = 0;
+    std::string name;    ///< The agent's instance name, from its settings.
+    std::string domain;  ///< Failure domain.
+    std::string service; ///< Name of the service that its backend server announced.
+    endpoint data;       ///< Where it receives envelopes.
+    std::uint64_t epoch = 0;
+    member_state state = member_state::cold;
+    /** Generation that last put its failure domain in service. Flows that the agent adopted before
+        are void, since others may serve them now. */
+    generation tenure_from = 0;
+    generation changed_at = 0;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_catalogue/subscriber_table.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "carawayshelf_catalogue/table_update.hpp"
+#include "carawayshelf_steering/routing_table.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace carawayshelf
+{
+
+/** A daemon's copy of its slice of the tables. Never goes back to an older generation.
+    Not thread-safe. */
+class subscriber_table
+{
+public:
+    struct service
+    {
+        service_entry entry;
+        std::vector<bucket_row> rows;
+    };
+
+    /** Takes an update in. Returns false, and changes nothing, when it is older than what is held.
+     */
+    bool apply(const table_update& update);
+
+    /** Builds the compact table for a balancer's traffic threads. */
+    routing_table build_routing_table() const;
+
+    /** The service of a name and its id, or nullptr. */
+    const std::pair<const service_id, service>* find_service(const std::string& name) const;
+
+    bool is_domain_out(const std::string& domain) const
+    {
+        return domains_out_.count(domain) != 0;
+    }
+
+    generation held() const
+    {
+        return held_;
+    }
+
+    const std::map<service_id, service>& services() const
+    {
+        return services_;
+    }
+
+    const std::map<member_id, member>& members() const
+    {
+        return members_;
+    }
+
+private:
+    generation held_ = 0;
+    std::map<service_id, service> services_;
+    std::map<member_id, member> members_;
+    std::set<std::string> domains_out_;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_catalogue/table_update.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "carawayshelf_catalogue/member.hpp"
+#include "carawayshelf_catalogue/service_entry.hpp"
+#include "carawayshelf_steering/bucket_row.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace carawayshelf
+{
+
+/** A bucket row and its number. */
+struct numbered_row
+{
+    std::uint16_t bucket = 0;
+    bucket_row row;
+};
+
+/** What changed in one service. */
+struct service_update
+{
+    service_id id = 0;
+    service_entry entry;
+    std::vector<numbered_row> rows;
+};
+
+/** What a subscriber lacks: from its own generation to a newer one. */
+struct table_update
+{
+    generation held = 0;   ///< Generation that the subscriber holds after taking this in.
+    bool complete = false; ///< Replaces everything, rather than adding to it.
+    std::vector<service_update> services;
+    std::vector<member> members;
+    std::vector<service_id> removed_services;
+    std::vector<member_id> removed_members;
+    std::vector<std::string> domains_out; ///< All of them, each time.
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_consensus/consensus_core.cpp
@@ -0,0 +1,665 @@
+#include "carawayshelf_consensus/consensus_core.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+constexpr duration snapshot_resend = std::chrono::seconds(2);
+
+} // namespace
+
+consensus_core::consensus_core(const consensus_settings& settings, const stored_state& stored,
+                               std::uint64_t random_seed, time_point now)
+    : settings_(settings), identity_(stored.identity), hard_(stored.hard), saved_hard_(stored.hard),
+      log_(stored.base, stored.records), random_(random_seed | 1U), commit_(stored.base.index),
+      applied_(stored.base.index), persisted_(log_.last_index()), handed_out_(log_.last_index())
+{
+    reset_election_timer(now);
+}
+
+bool consensus_core::bootstrap(time_point now)
+{
+    if (log_.last_index() != 0 || !log_.voters().empty() || hard_.term != 0)
+    {
+        return false;
+    }
+    log_record record;
+    record.index = 1;
+    record.term = 1;
+    record.kind = record_kind::members;
+    record.voters = {identity_};
+    hard_.term = 1;
+    store_records({record});
+    election_due_ = now;
+    return true;
+}
+
+bool consensus_core::is_voter() const
+{
+    const std::vector<instance_id>& voters = log_.voters();
+    return std::find(voters.begin(), voters.end(), identity_) != voters.end();
+}
+
+log_index consensus_core::match_of(instance_id follower) const
+{
+    const auto found = followers_.find(follower);
+    return found == followers_.end() ? 0 : found->second.match;
+}
+
+std::vector<instance_id> consensus_core::live_voters(time_point now) const
+{
+    std::vector<instance_id> live;
+    for (const instance_id voter : log_.voters())
+    {
+        const auto found = followers_.find(voter);
+        if (voter == identity_ ||
+            (found != followers_.end() && now - found->second.heard < settings_.election_timeout))
+        {
+            live.push_back(voter);
+        }
+    }
+    return live;
+}
+
+bool consensus_core::is_quorum(std::size_t count) const
+{
+    return count > log_.voters().size() / 2;
+}
+
+std::uint64_t consensus_core::next_random()
+{
+    random_ ^= random_ << 13U;
+    random_ ^= random_ >> 7U;
+    random_ ^= random_ << 17U;
+    return random_;
+}
+
+void consensus_core::reset_election_timer(time_point now)
+{
+    const std::uint64_t span = static_cast<std::uint64_t>(settings_.election_timeout.count());
+    election_due_ = now + settings_.election_timeout + duration(next_random() % span);
+}
+
+void consensus_core::tick(time_point now)
+{
+    if (role_ == consensus_role::leader)
+    {
+        check_quorum(now);
+        if (role_ == consensus_role::leader && now >= heartbeat_due_)
+        {
+            ++round_;
+            heartbeat_due_ = now + settings_.heartbeat;
+            allow_resends(now);
+            broadcast_append(now);
+        }
+        return;
+    }
+    if (now >= election_due_ && is_voter())
+    {
+        start_pre_vote(now);
+    }
+}
+
+void consensus_core::allow_resends(time_point now)
+{
+    for (auto& [id, progress] : followers_)
+    {
+        if (!progress.installing || now - progress.sent >= snapshot_resend)
+        {
+            progress.waiting = false;
+        }
+    }
+}
+
+void consensus_core::check_quorum(time_point now)
+{
+    if (!is_quorum(live_voters(now).size()))
+    {
+        become_follower(now, hard_.term, 0);
+    }
+}
+
+void consensus_core::become_follower(time_point now, term_number term, instance_id leader)
+{
+    if (term > hard_.term)
+    {
+        hard_.term = term;
+        hard_.voted_for = 0;
+    }
+    if (role_ == consensus_role::leader)
+    {
+        fail_reads();
+        followers_.clear();
+        learners_.clear();
+    }
+    role_ = consensus_role::follower;
+    in_pre_vote_ = false;
+    leader_ = leader;
+    reset_election_timer(now);
+}
+
+void consensus_core::request_votes(message_kind kind, term_number term)
+{
+    for (const instance_id voter : log_.voters())
+    {
+        if (voter == identity_)
+        {
+            continue;
+        }
+        message request;
+        request.kind = kind;
+        request.from = identity_;
+        request.to = voter;
+        request.term = term;
+        request.index = log_.last_index();
+        request.index_term = log_.last_term();
+        output_.messages.push_back(std::move(request));
+    }
+}
+
+void consensus_core::start_pre_vote(time_point now)
+{
+    reset_election_timer(now);
+    role_ = consensus_role::candidate;
+    in_pre_vote_ = true;
+    leader_ = 0;
+    votes_ = {identity_};
+    if (is_quorum(votes_.size()))
+    {
+        start_election(now);
+        return;
+    }
+    request_votes(message_kind::pre_vote, hard_.term + 1);
+}
+
+void consensus_core::start_election(time_point now)
+{
+    in_pre_vote_ = false;
+    ++hard_.term;
+    hard_.voted_for = identity_;
+    votes_ = {identity_};
+    if (is_quorum(votes_.size()))
+    {
+        become_leader(now);
+        return;
+    }
+    request_votes(message_kind::vote, hard_.term);
+}
+
+void consensus_core::become_leader(time_point now)
+{
+    role_ = consensus_role::leader;
+    leader_ = identity_;
+    followers_.clear();
+    learners_.clear();
+    for (const instance_id voter : log_.voters())
+    {
+        if (voter != identity_)
+        {
+            follower_progress progress;
+            progress.next = log_.last_index() + 1;
+            progress.heard = now;
+            followers_[voter] = progress;
+        }
+    }
+    heartbeat_due_ = now + settings_.heartbeat;
+    ++round_;
+    log_record record;
+    record.kind = record_kind::nothing;
+    append_own(now, std::move(record));
+    term_start_ = log_.last_index();
+    broadcast_append(now);
+}
+
+void consensus_core::append_own(time_point /*now*/, log_record record)
+{
+    record.index = log_.last_index() + 1;
+    record.term = hard_.term;
+    store_records({std::move(record)});
+}
+
+void consensus_core::store_records(const std::vector<log_record>& records)
+{
+    for (const log_record& record : records)
+    {
+        log_.append(record);
+        output_.append.push_back(record);
+    }
+}
+
+std::optional<log_index> consensus_core::propose(time_point now, std::string payload)
+{
+    if (role_ != consensus_role::leader)
+    {
+        return std::nullopt;
+    }
+    log_record record;
+    record.kind = record_kind::payload;
+    record.payload = std::move(payload);
+    append_own(now, std::move(record));
+    broadcast_append(now);
+    return log_.last_index();
+}
+
+bool consensus_core::propose_voters(time_point now, const std::vector<instance_id>& voters)
+{
+    if (role_ != consensus_role::leader || log_.voters_index() > commit_ || commit_ < term_start_)
+    {
+        return false;
+    }
+    std::set<instance_id> changed(voters.begin(), voters.end());
+    for (const instance_id voter : log_.voters())
+    {
+        if (changed.erase(voter) == 0)
+        {
+            changed.insert(voter);
+        }
+    }
+    if (changed.size() != 1 || voters.empty())
+    {
+        return false;
+    }
+    log_record record;
+    record.kind = record_kind::members;
+    record.voters = voters;
+    append_own(now, std::move(record));
+    for (const instance_id voter : voters)
+    {
+        if (voter != identity_ && followers_.count(voter) == 0)
+        {
+            followers_[voter].heard = now;
+        }
+    }
+    broadcast_append(now);
+    return true;
+}
+
+void consensus_core::add_learner(instance_id learner)
+{
+    if (role_ != consensus_role::leader || learner == identity_ || followers_.count(learner) != 0)
+    {
+        return;
+    }
+    learners_.insert(learner);
+    follower_progress progress;
+    progress.next = log_.last_index() + 1;
+    followers_[learner] = progress;
+}
+
+read_ticket consensus_core::request_read(time_point now)
+{
+    const read_ticket ticket = ++last_ticket_;
+    if (role_ != consensus_role::leader)
+    {
+        output_.failed_reads.push_back(ticket);
+        return ticket;
+    }
+    reads_.push_back({ticket, ++round_});
+    allow_resends(now);
+    broadcast_append(now);
+    confirm_reads();
+    return ticket;
+}
+
+void consensus_core::broadcast_append(time_point now)
+{
+    for (auto& [id, progress] : followers_)
+    {
+        if (!progress.waiting)
+        {
+            send_append(now, id, progress);
+        }
+    }
+}
+
+void consensus_core::send_append(time_point now, instance_id to, follower_progress& progress)
+{
+    progress.waiting = true;
+    progress.sent = now;
+    if (progress.next < log_.first_index())
+    {
+        send_snapshot(to, progress);
+        return;
+    }
+    message append;
+    append.kind = message_kind::append;
+    append.from = identity_;
+    append.to = to;
+    append.term = hard_.term;
+    append.index = progress.next - 1;
+    append.index_term = log_.term_at(append.index);
+    append.commit = commit_;
+    append.round = round_;
+    append.records = log_.copy_from(progress.next, settings_.most_records, settings_.most_bytes);
+    output_.messages.push_back(std::move(append));
+}
+
+void consensus_core::send_snapshot(instance_id to, follower_progress& progress)
+{
+    message install;
+    install.kind = message_kind::install_snapshot;
+    install.from = identity_;
+    install.to = to;
+    install.term = hard_.term;
+    install.round = round_;
+    install.installed = log_.base();
+    progress.next = log_.base().index + 1;
+    progress.installing = true;
+    output_.messages.push_back(std::move(install));
+}
+
+bool consensus_core::has_recent_leader(time_point now) const
+{
+    return leader_ != 0 &&
+           (role_ == consensus_role::leader || now - leader_heard_ < settings_.election_timeout);
+}
+
+bool consensus_core::is_log_current(const message& received) const
+{
+    return received.index_term != log_.last_term() ? received.index_term > log_.last_term()
+                                                   : received.index >= log_.last_index();
+}
+
+message consensus_core::reply_to(const message& received, message_kind kind) const
+{
+    message reply;
+    reply.kind = kind;
+    reply.from = identity_;
+    reply.to = received.from;
+    reply.term = hard_.term;
+    reply.round = received.round;
+    return reply;
+}
+
+void consensus_core::receive(time_point now, const message& received)
+{
+    if (received.to != identity_)
+    {
+        return;
+    }
+    const bool is_pre_vote = received.kind == message_kind::pre_vote ||
+                             (received.kind == message_kind::pre_vote_reply && received.accepted);
+    const bool is_vote = received.kind == message_kind::vote;
+    if (is_vote && has_recent_leader(now))
+    {
+        return; // A leader that a quorum hears is not deposed by one that doesn't.
+    }
+    if (received.term > hard_.term && !is_pre_vote)
+    {
+        become_follower(now, received.term, 0);
+    }
+    switch (received.kind)
+    {
+    case message_kind::pre_vote:
+    case message_kind::vote:
+        handle_vote_request(now, received);
+        break;
+    case message_kind::pre_vote_reply:
+    case message_kind::vote_reply:
+        count_vote(now, received);
+        break;
+    case message_kind::append:
+        handle_append(now, received);
+        break;
+    case message_kind::append_reply:
+        handle_append_reply(now, received);
+        break;
+    case message_kind::install_snapshot:
+        handle_install(now, received);
+        break;
+    }
+}
+
+void consensus_core::handle_vote_request(time_point now, const message& received)
+{
+    const bool pre = received.kind == message_kind::pre_vote;
+    message reply =
+        reply_to(received, pre ? message_kind::pre_vote_reply : message_kind::vote_reply);
+    if (pre)
+    {
+        reply.accepted = received.term > hard_.term && is_log_current(received) &&
+                         !has_recent_leader(now) && is_voter();
+        reply.term = reply.accepted ? received.term : hard_.term;
+    }
+    else
+    {
+        const bool free_to_vote = hard_.voted_for == 0 || hard_.voted_for == received.from;
+        reply.accepted =
+            received.term == hard_.term && free_to_vote && is_log_current(received) && is_voter();
+        if (reply.accepted)
+        {
+            hard_.voted_for = received.from;
+            reset_election_timer(now);
+        }
+    }
+    output_.messages.push_back(std::move(reply));
+}
+
+void consensus_core::count_vote(time_point now, const message& received)
+{
+    const bool pre = received.kind == message_kind::pre_vote_reply;
+    const term_number expected = pre ? hard_.term + 1 : hard_.term;
+    if (role_ != consensus_role::candidate || in_pre_vote_ != pre || !received.accepted ||
+        received.term != expected)
+    {
+        return;
+    }
+    const std::vector<instance_id>& voters = log_.voters();
+    if (std::find(voters.begin(), voters.end(), received.from) == voters.end())
+    {
+        return;
+    }
+    votes_.insert(received.from);
+    if (!is_quorum(votes_.size()))
+    {
+        return;
+    }
+    if (pre)
+    {
+        start_election(now);
+    }
+    else
+    {
+        become_leader(now);
+    }
+}
+
+void consensus_core::handle_append(time_point now, const message& received)
+{
+    message reply = reply_to(received, message_kind::append_reply);
+    if (received.term < hard_.term)
+    {
+        output_.messages.push_back(std::move(reply));
+        return;
+    }
+    become_follower(now, received.term, received.from);
+    leader_heard_ = now;
+    const bool before_base = received.index < log_.base().index;
+    if (!before_base && log_.term_at(received.index) != received.index_term)
+    {
+        reply.hint = std::min(log_.last_index(), received.index == 0 ? 0 : received.index - 1);
+        reply.hint = std::max(reply.hint, log_.base().index);
+        output_.messages.push_back(std::move(reply));
+        return;
+    }
+    log_index matched = received.index;
+    for (const log_record& record : received.records)
+    {
+        matched = record.index;
+        if (record.index <= log_.base().index || log_.term_at(record.index) == record.term)
+        {
+            continue;
+        }
+        if (record.index <= log_.last_index())
+        {
+            log_.truncate_after(record.index - 1);
+            persisted_ = std::min(persisted_, record.index - 1);
+            while (!output_.append.empty() && output_.append.back().index >= record.index)
+            {
+                output_.append.pop_back();
+            }
+        }
+        store_records({record});
+    }
+    matched = std::max(matched, std::min(log_.base().index, commit_));
+    reply.accepted = true;
+    reply.hint = matched;
+    set_commit(std::min(received.commit, matched));
+    output_.messages.push_back(std::move(reply));
+}
+
+void consensus_core::handle_install(time_point now, const message& received)
+{
+    message reply = reply_to(received, message_kind::append_reply);
+    if (received.term < hard_.term)
+    {
+        output_.messages.push_back(std::move(reply));
+        return;
+    }
+    become_follower(now, received.term, received.from);
+    leader_heard_ = now;
+    reply.accepted = true;
+    if (received.installed.index > commit_)
+    {
+        log_.reset(received.installed);
+        output_.append.clear();
+        output_.committed.clear();
+        output_.install = received.installed;
+        commit_ = received.installed.index;
+        applied_ = commit_;
+        persisted_ = commit_;
+    }
+    reply.hint = std::max(commit_, received.installed.index);
+    output_.messages.push_back(std::move(reply));
+}
+
+void consensus_core::handle_append_reply(time_point now, const message& received)
+{
+    const auto found = followers_.find(received.from);
+    if (role_ != consensus_role::leader || received.term != hard_.term || found == followers_.end())
+    {
+        return;
+    }
+    follower_progress& progress = found->second;
+    progress.heard = now;
+    progress.waiting = false;
+    progress.installing = false;
+    progress.confirmed_round = std::max(progress.confirmed_round, received.round);
+    if (received.accepted)
+    {
+        progress.match = std::max(progress.match, received.hint);
+        progress.next = progress.match + 1;
+    }
+    else
+    {
+        progress.next = std::max(progress.match, std::min(received.hint, log_.last_index())) + 1;
+    }
+    confirm_reads();
+    advance_commit(now);
+    if (role_ == consensus_role::leader && progress.next <= log_.last_index() && !progress.waiting)
+    {
+        send_append(now, received.from, progress);
+    }
+}
+
+void consensus_core::advance_commit(time_point now)
+{
+    if (role_ != consensus_role::leader)
+    {
+        return;
+    }
+    std::vector<log_index> held;
+    for (const instance_id voter : log_.voters())
+    {
+        held.push_back(voter == identity_ ? persisted_ : match_of(voter));
+    }
+    std::sort(held.begin(), held.end(), std::greater<>());
+    const log_index majority = held[held.size() / 2];
+    if (majority <= commit_ || log_.term_at(majority) != hard_.term)
+    {
+        return;
+    }
+    set_commit(majority);
+    confirm_reads();
+    broadcast_append(now);
+    if (log_.voters_index() <= commit_ && !is_voter())
+    {
+        become_follower(now, hard_.term, 0);
+    }
+}
+
+void consensus_core::set_commit(log_index index)
+{
+    commit_ = std::max(commit_, std::min(index, log_.last_index()));
+}
+
+void consensus_core::confirm_reads()
+{
+    if (commit_ < term_start_)
+    {
+        return;
+    }
+    while (!reads_.empty())
+    {
+        std::size_t confirmed = 0;
+        for (const instance_id voter : log_.voters())
+        {
+            const auto found = followers_.find(voter);
+            confirmed +=
+                voter == identity_ || (found != followers_.end() &&
+                                       found->second.confirmed_round >= reads_.front().round);
+        }
+        if (!is_quorum(confirmed))
+        {
+            return;
+        }
+        output_.confirmed_reads.push_back(reads_.front().ticket);
+        reads_.erase(reads_.begin());
+    }
+}
+
+void consensus_core::fail_reads()
+{
+    for (const pending_read& read : reads_)
+    {
+        output_.failed_reads.push_back(read.ticket);
+    }
+    reads_.clear();
+}
+
+consensus_output consensus_core::take_output()
+{
+    if (!(hard_ == saved_hard_))
+    {
+        output_.hard = hard_;
+        saved_hard_ = hard_;
+    }
+    while (applied_ < commit_)
+    {
+        ++applied_;
+        output_.committed.push_back(log_.at(applied_));
+    }
+    handed_out_ = log_.last_index();
+    return std::exchange(output_, consensus_output{});
+}
+
+void consensus_core::persisted(time_point now)
+{
+    persisted_ = std::max(persisted_, std::min(handed_out_, log_.last_index()));
+    if (role_ == consensus_role::leader)
+    {
+        advance_commit(now);
+    }
+}
+
+void consensus_core::compact(const snapshot& taken)
+{
+    log_.compact(taken);
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_consensus/replicated_log.cpp
@@ -0,0 +1,110 @@
+#include "carawayshelf_consensus/replicated_log.hpp"
+
+#include <iterator>
+#include <utility>
+
+namespace carawayshelf
+{
+
+replicated_log::replicated_log(snapshot base, std::vector<log_record> records)
+    : base_(std::move(base)),
+      records_(std::make_move_iterator(records.begin()), std::make_move_iterator(records.end()))
+{
+    find_voters();
+}
+
+term_number replicated_log::last_term() const
+{
+    return records_.empty() ? base_.term : records_.back().term;
+}
+
+term_number replicated_log::term_at(log_index index) const
+{
+    if (index == base_.index)
+    {
+        return base_.term;
+    }
+    if (index < first_index() || index > last_index())
+    {
+        return 0;
+    }
+    return at(index).term;
+}
+
+const log_record& replicated_log::at(log_index index) const
+{
+    return records_[static_cast<std::size_t>(index - first_index())];
+}
+
+std::vector<log_record> replicated_log::copy_from(log_index from, std::size_t most_records,
+                                                  std::size_t most_bytes) const
+{
+    std::vector<log_record> copied;
+    std::size_t bytes = 0;
+    for (log_index index = from; index <= last_index() && copied.size() < most_records; ++index)
+    {
+        bytes += at(index).payload.size();
+        if (!copied.empty() && bytes > most_bytes)
+        {
+            break;
+        }
+        copied.push_back(at(index));
+    }
+    return copied;
+}
+
+void replicated_log::append(log_record record)
+{
+    if (record.kind == record_kind::members)
+    {
+        voters_ = record.voters;
+        voters_index_ = record.index;
+    }
+    records_.push_back(std::move(record));
+}
+
+void replicated_log::truncate_after(log_index last_kept)
+{
+    while (last_index() > last_kept && !records_.empty())
+    {
+        records_.pop_back();
+    }
+    find_voters();
+}
+
+void replicated_log::compact(const snapshot& taken)
+{
+    if (taken.index <= base_.index)
+    {
+        return;
+    }
+    while (!records_.empty() && records_.front().index <= taken.index)
+    {
+        records_.pop_front();
+    }
+    base_ = taken;
+    find_voters();
+}
+
+void replicated_log::reset(const snapshot& taken)
+{
+    records_.clear();
+    base_ = taken;
+    find_voters();
+}
+
+void replicated_log::find_voters()
+{
+    voters_ = base_.voters;
+    voters_index_ = base_.index;
+    for (const log_record& record : records_)
+    {
+        if (record.kind == record_kind::members)
+        {
+            voters_ = record.voters;
+            voters_index_ = record.index;
+        }
+    }
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/control_client.cpp
@@ -0,0 +1,166 @@
+#include "carawayshelf_io/control_client.hpp"
+
+#include "carawayshelf_io/json_log.hpp"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds heartbeat_interval(250);
+constexpr std::chrono::milliseconds retry_interval(200);
+
+} // namespace
+
+control_client::control_client(boost::asio::io_context& io, std::vector<endpoint> instances,
+                               report_source report, update_handler on_update)
+    : io_(io), instances_(std::move(instances)), report_(std::move(report)),
+      on_update_(std::move(on_update)), retry_timer_(io), heartbeat_timer_(io)
+{
+    // Daemons start at different instances, so that each instance carries its share of them.
+    std::shuffle(instances_.begin(), instances_.end(), std::mt19937(std::random_device{}()));
+}
+
+void control_client::start()
+{
+    connect();
+    schedule_heartbeat();
+}
+
+void control_client::set_service(const std::string& service)
+{
+    service_ = service;
+    taken_ = 0; // What was taken so far is of another slice.
+    if (is_connected())
+    {
+        subscribe();
+    }
+}
+
+void control_client::connect()
+{
+    const endpoint address = instances_[next_++ % instances_.size()];
+    const std::shared_ptr<boost::asio::ip::tcp::socket> socket =
+        std::make_shared<boost::asio::ip::tcp::socket>(io_);
+    socket->async_connect(to_asio(address),
+                          [this, socket](const boost::system::error_code& error)
+                          {
+                              if (error)
+                              {
+                                  lose_connection();
+                                  return;
+                              }
+                              on_connected(std::move(*socket));
+                          });
+}
+
+void control_client::on_connected(boost::asio::ip::tcp::socket socket)
+{
+    connection_ = std::make_shared<frame_connection>(std::move(socket));
+    connection_->start([this](frame& received) { handle_frame(received); },
+                       [this](const failure& why)
+                       {
+                           log_warning("lost the control instance: " + why.detail);
+                           lose_connection();
+                       });
+    subscribe();
+}
+
+void control_client::subscribe()
+{
+    frame sent;
+    sent.subscription = std::make_unique<buffers::subscribe_object>();
+    sent.subscription->lease = pack_report(report_());
+    sent.subscription->lease->held = taken_;
+    sent.subscription->service = service_;
+    connection_->send(sent);
+}
+
+void control_client::lose_connection()
+{
+    connection_ = nullptr;
+    for (const auto& [number, done] : std::exchange(waiting_, {}))
+    {
+        done(error_kind::not_confirmed, {});
+    }
+    retry_timer_.expires_after(retry_interval);
+    retry_timer_.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            if (!error)
+            {
+                connect();
+            }
+        });
+}
+
+void control_client::handle_frame(frame& received)
+{
+    if (received.update)
+    {
+        if (const std::optional<table_update> update = unpack_update(*received.update))
+        {
+            taken_ = std::max(taken_, update->held);
+            on_update_(*update);
+        }
+    }
+    if (received.client_reply)
+    {
+        auto found = waiting_.extract(received.client_reply->number);
+        if (found)
+        {
+            const change_result result = received.client_reply->result
+                                             ? unpack_result(*received.client_reply->result)
+                                             : change_result{};
+            found.mapped()(static_cast<error_kind>(received.client_reply->error), result);
+        }
+    }
+}
+
+void control_client::send_report()
+{
+    if (is_connected())
+    {
+        frame sent;
+        sent.lease = pack_report(report_());
+        connection_->send(sent);
+    }
+}
+
+void control_client::schedule_heartbeat()
+{
+    heartbeat_timer_.expires_after(heartbeat_interval);
+    heartbeat_timer_.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            if (!error)
+            {
+                send_report();
+                schedule_heartbeat();
+            }
+        });
+}
+
+void control_client::propose(const change& edit, result_handler done)
+{
+    if (!is_connected())
+    {
+        done(error_kind::no_leader, {});
+        return;
+    }
+    const std::uint64_t number = ++last_number_;
+    waiting_[number] = std::move(done);
+    frame sent;
+    sent.client_request = std::make_unique<buffers::request_object>();
+    sent.client_request->number = number;
+    sent.client_request->kind = static_cast<std::uint8_t>(request_kind::propose);
+    sent.client_request->proposed = pack_change(edit);
+    connection_->send(sent);
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/control_client.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "carawayshelf_catalogue/table_update.hpp"
+#include "carawayshelf_io/control_protocol.hpp"
+#include "carawayshelf_io/frame_connection.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace carawayshelf
+{
+
+/** A daemon's connection to the control instances: subscribes at one of them, goes to the next when
+    it is lost, and sends heartbeats. All calls and handlers run on the io_context's thread. */
+class control_client
+{
+public:
+    using update_handler = std::function<void(const table_update&)>;
+    using result_handler = std::function<void(error_kind, const change_result&)>;
+    using report_source = std::function<daemon_report()>;
+
+    /** @param report     asked for the report of each heartbeat
+        @param on_update  gets each update in turn */
+    control_client(boost::asio::io_context& io, std::vector<endpoint> instances,
+                   report_source report, update_handler on_update);
+
+    void start();
+
+    /** Service whose slice an agent wants; subscribes anew when it changes. */
+    void set_service(const std::string& service);
+
+    /** Sends a heartbeat at once, for instance when a new generation is in force. */
+    void send_report();
+
+    /** Proposes a change. The handler is told no_leader when there is no connection. */
+    void propose(const change& edit, result_handler done);
+
+    /** Whether a control instance is connected. */
+    bool is_connected() const
+    {
+        return connection_ != nullptr && connection_->is_open();
+    }
+
+private:
+    void connect();
+    void on_connected(boost::asio::ip::tcp::socket socket);
+    void subscribe();
+    void handle_frame(frame& received);
+    void lose_connection();
+    void schedule_heartbeat();
+
+    boost::asio::io_context& io_;
+    std::vector<endpoint> instances_;
+    report_source report_;
+    update_handler on_update_;
+    std::string service_;
+    generation taken_ = 0; ///< Newest generation taken of this slice.
+    std::size_t next_ = 0;
+    std::shared_ptr<frame_connection> connection_;
+    boost::asio::steady_timer retry_timer_;
+    boost::asio::steady_timer heartbeat_timer_;
+    std::uint64_t last_number_ = 0;
+    std::map<std::uint64_t, result_handler> waiting_;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -0,0 +1,915 @@
+#include "carawayshelf_io/control_server.hpp"
+
+#include "carawayshelf_catalogue/entry_validation.hpp"
+#include "carawayshelf_io/json_log.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds tick_interval(10);
+constexpr std::chrono::milliseconds lease_interval(250);
+constexpr duration request_timeout = std::chrono::seconds(5);
+constexpr log_index caught_up_within = 100;
+
+std::uint64_t random_seed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+} // namespace
+
+control_server::control_server(boost::asio::io_context& io, const control_settings& settings)
+    : io_(io), settings_(settings), store_(settings.data_folder, settings.slot),
+      leases_(std::chrono::milliseconds(settings.lease_ms)), acceptor_(io), timer_(io),
+      lease_timer_(io)
+{
+    for (const endpoint& address : settings.peers)
+    {
+        peers_.push_back({address, nullptr, false});
+    }
+}
+
+time_point control_server::now()
+{
+    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+}
+
+failure control_server::start()
+{
+    stored_state stored;
+    if (failure failed = store_.load(stored))
+    {
+        return failed;
+    }
+    if (!stored.base.state.empty())
+    {
+        std::optional<cluster_state> decoded = decode_state(stored.base.state);
+        if (!decoded)
+        {
+            return make_failure(error_kind::storage_corrupt, "the snapshot's state is malformed");
+        }
+        state_ = std::move(*decoded);
+    }
+    if (slot_of(stored.identity) != settings_.slot)
+    {
+        return make_failure(error_kind::invalid_settings,
+                            "[control] slot is '" + std::to_string(settings_.slot) +
+                                "', but the data folder belongs to slot " +
+                                std::to_string(slot_of(stored.identity)) +
+                                ": correct the slot or the data_folder");
+    }
+    identity_of_slot_[settings_.slot] = stored.identity;
+    core_ = std::make_unique<consensus_core>(consensus_settings{}, stored, random_seed(), now());
+    const endpoint own = settings_.peers[settings_.slot - 1U];
+    boost::system::error_code error;
+    acceptor_.open(boost::asio::ip::tcp::v4(), error);
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true), error);
+    acceptor_.bind(to_asio(own), error);
+    if (!error)
+    {
+        acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+    }
+    if (error)
+    {
+        return make_failure(error_kind::invalid_settings,
+                            "control address " + to_string(own) +
+                                " can't be bound: " + error.message());
+    }
+    accept_next();
+    on_timer();
+    on_lease_timer();
+    log_info("control instance of slot " + std::to_string(settings_.slot) + " listens at " +
+             to_string(own));
+    return {};
+}
+
+void control_server::stop(const failure& why)
+{
+    log_error(why.message());
+    stop_reason_ = why;
+    io_.stop();
+}
+
+void control_server::accept_next()
+{
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket)
+        {
+            if (!error)
+            {
+                start_connection(std::make_shared<frame_connection>(std::move(socket)));
+            }
+            if (acceptor_.is_open())
+            {
+                accept_next();
+            }
+        });
+}
+
+void control_server::start_connection(const connection_pointer& connection)
+{
+    connections_[connection.get()] = connection;
+    const std::weak_ptr<frame_connection> weak = connection;
+    connection->start(
+        [this, weak](frame& received)
+        {
+            if (const connection_pointer held = weak.lock())
+            {
+                handle_frame(held, received);
+            }
+        },
+        [this, weak](const failure& why)
+        {
+            if (why.code == make_error_code(error_kind::malformed_frame))
+            {
+                ++counters_.broken_frames;
+                log_warning(why.message());
+            }
+            if (const connection_pointer held = weak.lock())
+            {
+                drop_connection(held);
+            }
+        });
+}
+
+void control_server::drop_connection(const connection_pointer& connection)
+{
+    connections_.erase(connection.get());
+    subscribers_.erase(connection.get());
+    for (peer_link& peer : peers_)
+    {
+        if (peer.connection == connection)
+        {
+            peer.connection = nullptr;
+            fail_forwarded([&connection](const pending_request& request)
+                           { return request.via == connection; },
+                           "the leader was lost before it answered");
+        }
+    }
+}
+
+void control_server::handle_frame(const connection_pointer& connection, frame& received)
+{
+    if (received.consensus)
+    {
+        if (const std::optional<message> unpacked = unpack_message(*received.consensus))
+        {
+            core_->receive(now(), *unpacked);
+        }
+    }
+    if (received.hello)
+    {
+        handle_hello(*received.hello);
+    }
+    if (received.digest)
+    {
+        for (const std::unique_ptr<buffers::daemon_lease_object>& lease : received.digest->leases)
+        {
+            leases_.hear(now(), unpack_report(*lease));
+        }
+    }
+    if (received.subscription && received.subscription->lease)
+    {
+        handle_subscription(connection, *received.subscription);
+    }
+    if (received.lease)
+    {
+        handle_report(connection, *received.lease);
+    }
+    if (received.client_request)
+    {
+        handle_request(*received.client_request,
+                       [connection](reply_pointer reply)
+                       {
+                           frame answer;
+                           answer.client_reply = std::move(reply);
+                           connection->send(answer);
+                       });
+    }
+    if (received.forwarded_request)
+    {
+        const reply_handler done = [connection](reply_pointer reply)
+        {
+            frame answer;
+            answer.forwarded_reply = std::move(reply);
+            connection->send(answer);
+        };
+        if (core_->role() == consensus_role::leader)
+        {
+            lead_request(*received.forwarded_request, done);
+        }
+        else
+        {
+            done(make_error_reply(received.forwarded_request->number, error_kind::no_leader,
+                                  "the leader has just changed"));
+        }
+    }
+    if (received.forwarded_reply)
+    {
+        handle_forwarded_reply(std::move(received.forwarded_reply));
+    }
+    schedule_pump();
+}
+
+void control_server::connect_peers()
+{
+    for (std::size_t slot = 1; slot <= peers_.size(); ++slot)
+    {
+        peer_link& peer = peers_[slot - 1];
+        if (slot != settings_.slot && !peer.connection && !peer.is_connecting)
+        {
+            connect_peer(slot);
+        }
+    }
+}
+
+void control_server::connect_peer(std::size_t slot)
+{
+    peers_[slot - 1].is_connecting = true;
+    const std::shared_ptr<boost::asio::ip::tcp::socket> socket =
+        std::make_shared<boost::asio::ip::tcp::socket>(io_);
+    socket->async_connect(to_asio(peers_[slot - 1].address),
+                          [this, slot, socket](const boost::system::error_code& error)
+                          {
+                              peer_link& peer = peers_[slot - 1];
+                              peer.is_connecting = false;
+                              if (error)
+                              {
+                                  return;
+                              }
+                              peer.connection =
+                                  std::make_shared<frame_connection>(std::move(*socket));
+                              start_connection(peer.connection);
+                              send_hello(peer.connection);
+                          });
+}
+
+void control_server::send_hello(const connection_pointer& connection)
+{
+    frame hello;
+    hello.hello = std::make_unique<buffers::peer_hello_object>();
+    hello.hello->identity = core_->identity();
+    hello.hello->slot = settings_.slot;
+    hello.hello->is_voter = core_->is_voter();
+    connection->send(hello);
+}
+
+void control_server::handle_hello(const buffers::peer_hello_object& hello)
+{
+    if (hello.slot < 1 || hello.slot > peers_.size() || hello.slot == settings_.slot)
+    {
+        log_warning("a control instance claims slot " + std::to_string(hello.slot) +
+                    ": give each instance a slot of its own in 1 to " +
+                    std::to_string(peers_.size()));
+        return;
+    }
+    identity_of_slot_[hello.slot] = hello.identity;
+}
+
+control_server::connection_pointer control_server::connection_of(instance_id peer) const
+{
+    const std::uint16_t slot = slot_of(peer);
+    const auto known = identity_of_slot_.find(slot);
+    const bool is_current = known == identity_of_slot_.end() || known->second == peer;
+    return slot >= 1 && slot <= peers_.size() && is_current ? peers_[slot - 1U].connection
+                                                            : nullptr;
+}
+
+void control_server::send_message(const message& value)
+{
+    if (const connection_pointer connection = connection_of(value.to))
+    {
+        frame sent;
+        sent.consensus = pack_message(value);
+        connection->send(sent);
+    }
+}
+
+void control_server::handle_request(const buffers::request_object& request, reply_handler done)
+{
+    if (request.kind >= request_kind_names.size())
+    {
+        done(make_error_reply(request.number, error_kind::malformed_frame, "unknown request"));
+        return;
+    }
+    if (static_cast<request_kind>(request.kind) == request_kind::bootstrap)
+    {
+        bootstrap(request, done);
+        return;
+    }
+    if (core_->role() == consensus_role::leader)
+    {
+        lead_request(request, std::move(done));
+        return;
+    }
+    forward(request, std::move(done));
+}
+
+void control_server::bootstrap(const buffers::request_object& request, const reply_handler& done)
+{
+    if (!core_->bootstrap(now()))
+    {
+        done(make_error_reply(request.number, error_kind::usage,
+                              "this instance belongs to a cluster already; 'control init' is for "
+                              "the first start only, see the runbook"));
+        return;
+    }
+    log_info("started a new cluster with this instance as its first voter");
+    reply_pointer reply = std::make_unique<buffers::reply_object>();
+    reply->number = request.number;
+    done(std::move(reply));
+}
+
+void control_server::forward(const buffers::request_object& request, reply_handler done)
+{
+    const connection_pointer leader =
+        core_->leader() == 0 ? nullptr : connection_of(core_->leader());
+    if (!leader)
+    {
+        ++counters_.no_leader;
+        done(make_error_reply(request.number, error_kind::no_leader, ""));
+        return;
+    }
+    ++counters_.forwarded;
+    const std::uint64_t number = ++last_forwarded_;
+    forwarded_[number] = {request.number, std::move(done), now(), leader};
+    frame sent;
+    sent.forwarded_request = std::make_unique<buffers::request_object>();
+    buffers::request_object& copy = *sent.forwarded_request;
+    copy.number = number;
+    copy.kind = request.kind;
+    copy.name = request.name;
+    copy.generation = request.generation;
+    if (request.proposed)
+    {
+        if (const std::optional<change> edit = unpack_change(*request.proposed))
+        {
+            copy.proposed = pack_change(*edit);
+        }
+    }
+    leader->send(sent);
+}
+
+void control_server::handle_forwarded_reply(reply_pointer reply)
+{
+    const auto found = forwarded_.find(reply->number);
+    if (found == forwarded_.end())
+    {
+        return;
+    }
+    reply->number = found->second.number;
+    const reply_handler done = std::move(found->second.done);
+    forwarded_.erase(found);
+    done(std::move(reply));
+}
+
+void control_server::fail_forwarded(const std::function<bool(const pending_request&)>& picks,
+                                    const char* why)
+{
+    std::vector<pending_request> failed;
+    for (auto item = forwarded_.begin(); item != forwarded_.end();)
+    {
+        if (picks(item->second))
+        {
+            failed.push_back(std::move(item->second));
+            item = forwarded_.erase(item);
+        }
+        else
+        {
+            ++item;
+        }
+    }
+    for (const pending_request& request : failed)
+    {
+        ++counters_.not_confirmed;
+        request.done(make_error_reply(request.number, error_kind::not_confirmed, why));
+    }
+}
+
+void control_server::lead_request(const buffers::request_object& request, reply_handler done)
+{
+    if (static_cast<request_kind>(request.kind) == request_kind::propose)
+    {
+        propose(request, std::move(done));
+        return;
+    }
+    pending_read read;
+    read.request.number = request.number;
+    read.request.kind = request.kind;
+    read.request.name = request.name;
+    read.request.generation = request.generation;
+    read.done = std::move(done);
+    const read_ticket ticket = core_->request_read(now());
+    reads_[ticket] = std::move(read);
+    schedule_pump();
+}
+
+void control_server::propose(const buffers::request_object& request, reply_handler done)
+{
+    const std::optional<change> edit =
+        request.proposed ? unpack_change(*request.proposed) : std::optional<change>();
+    if (!edit)
+    {
+        done(make_error_reply(request.number, error_kind::malformed_frame, "no change given"));
+        return;
+    }
+    propose_change(*edit, request.number, std::move(done));
+}
+
+void control_server::propose_change(const change& edit, std::uint64_t number, reply_handler done)
+{
+    const std::optional<log_index> index = core_->propose(now(), encode_change(edit));
+    if (!index)
+    {
+        ++counters_.no_leader;
+        if (done)
+        {
+            done(make_error_reply(number, error_kind::no_leader, ""));
+        }
+        return;
+    }
+    proposals_[*index] = {core_->term(), number, std::move(done)};
+    schedule_pump();
+}
+
+control_server::reply_pointer control_server::read_reply(const buffers::request_object& request)
+{
+    reply_pointer reply = std::make_unique<buffers::reply_object>();
+    reply->number = request.number;
+    reply->generation = state_.data().held;
+    switch (static_cast<request_kind>(request.kind))
+    {
+    case request_kind::get_service:
+    {
+        reply->version = state_.version_of(request.name);
+        const service_state* service = state_.find_service(request.name);
+        if (service == nullptr)
+        {
+            reply->error = static_cast<std::uint8_t>(error_kind::unknown_service);
+            reply->detail = "service '" + request.name + "' does not exist; to create it, put it " +
+                            "with --expect=" + std::to_string(reply->version);
+            break;
+        }
+        reply->services.push_back(pack_service(*service, false));
+        break;
+    }
+    case request_kind::list_services:
+        for (const auto& [name, service] : state_.data().services)
+        {
+            reply->services.push_back(pack_service(service, false));
+        }
+        break;
+    case request_kind::list_domains:
+        for (const auto& [name, domain] : state_.data().domains)
+        {
+            reply->domains.push_back(pack_domain(name, domain));
+        }
+        break;
+    case request_kind::wait_for:
+        reply->lagging = leases_.lagging(now(), request.generation);
+        break;
+    case request_kind::status:
+        reply->state = std::make_unique<buffers::status_object>();
+        fill_status(*reply->state);
+        break;
+    case request_kind::propose:
+    case request_kind::bootstrap:
+        break;
+    }
+    return reply;
+}
+
+void control_server::fill_status(buffers::status_object& status)
+{
+    status.term = core_->term();
+    status.generation = state_.data().held;
+    status.safe_to_lose_one = is_safe_to_lose_one();
+    const std::vector<instance_id> live = core_->live_voters(now());
+    for (const instance_id voter : core_->log().voters())
+    {
+        std::unique_ptr<buffers::instance_status_object> instance =
+            std::make_unique<buffers::instance_status_object>();
+        instance->identity = voter;
+        instance->slot = slot_of(voter);
+        instance->voter = true;
+        instance->live = std::find(live.begin(), live.end(), voter) != live.end();
+        instance->leader = voter == core_->identity();
+        instance->match = instance->leader ? core_->log().last_index() : core_->match_of(voter);
+        status.instances.push_back(std::move(instance));
+    }
+    for (const daemon_report& report : leases_.live(now()))
+    {
+        status.daemons.push_back(pack_report(report));
+    }
+    for (const auto& [id, who] : state_.data().members)
+    {
+        status.members.push_back(pack_member(who));
+    }
+    for (const auto& [name, service] : state_.data().services)
+    {
+        status.services.push_back(pack_service(service, true));
+    }
+    for (const auto& [name, domain] : state_.data().domains)
+    {
+        status.domains.push_back(pack_domain(name, domain));
+    }
+}
+
+bool control_server::is_safe_to_lose_one() const
+{
+    const std::vector<instance_id>& voters = core_->log().voters();
+    std::size_t caught_up = 0;
+    for (const instance_id voter : core_->live_voters(now()))
+    {
+        caught_up += voter == core_->identity() ||
+                     core_->match_of(voter) + caught_up_within >= core_->commit_index();
+    }
+    // A majority must be left whichever live one is lost, and every voter must be its slot's own.
+    return caught_up >= voters.size() / 2 + 2 && voters.size() >= peers_.size();
+}
+
+void control_server::schedule_pump()
+{
+    if (is_pump_scheduled_)
+    {
+        return;
+    }
+    is_pump_scheduled_ = true;
+    boost::asio::post(io_,
+                      [this]
+                      {
+                          is_pump_scheduled_ = false;
+                          pump();
+                      });
+}
+
+void control_server::pump()
+{
+    for (;;)
+    {
+        const consensus_output output = core_->take_output();
+        if (output.is_empty())
+        {
+            break;
+        }
+        if (failure failed = store_output(output))
+        {
+            stop(failed);
+            return;
+        }
+        core_->persisted(now());
+        for (const message& value : output.messages)
+        {
+            send_message(value);
+        }
+        for (const log_record& record : output.committed)
+        {
+            apply_committed(record);
+        }
+        for (const read_ticket ticket : output.confirmed_reads)
+        {
+            if (auto found = reads_.extract(ticket))
+            {
+                found.mapped().done(read_reply(found.mapped().request));
+            }
+        }
+        for (const read_ticket ticket : output.failed_reads)
+        {
+            if (auto found = reads_.extract(ticket))
+            {
+                found.mapped().done(make_error_reply(found.mapped().request.number,
+                                                     error_kind::no_leader,
+                                                     "this instance does not lead any more"));
+            }
+        }
+    }
+    const bool is_leader = core_->role() == consensus_role::leader;
+    if (is_leader && !was_leader_)
+    {
+        log_info("leads term " + std::to_string(core_->term()));
+        leases_.start(now());
+    }
+    if (!is_leader && was_leader_)
+    {
+        log_info("does not lead any more");
+        fail_proposals_after_leadership();
+    }
+    was_leader_ = is_leader;
+    counters_.is_leader = is_leader ? 1 : 0;
+    counters_.term = core_->term();
+    take_snapshot_if_due();
+}
+
+failure control_server::store_output(const consensus_output& output)
+{
+    if (!output.needs_sync())
+    {
+        return {};
+    }
+    if (output.install)
+    {
+        std::optional<cluster_state> decoded = decode_state(output.install->state);
+        if (!decoded)
+        {
+            return make_failure(error_kind::storage_corrupt, "a received snapshot is malformed");
+        }
+        if (failure failed = store_.save_snapshot(*output.install, false))
+        {
+            return failed;
+        }
+        state_ = std::move(*decoded);
+        counters_.generation = state_.data().held;
+        is_update_due_ = true;
+    }
+    if (output.hard)
+    {
+        if (failure failed = store_.save_hard_state(*output.hard))
+        {
+            return failed;
+        }
+    }
+    if (failure failed = store_.append(output.append))
+    {
+        return failed;
+    }
+    ++counters_.syncs;
+    return store_.sync();
+}
+
+void control_server::apply_committed(const log_record& record)
+{
+    change_result result;
+    if (record.kind == record_kind::payload)
+    {
+        const std::optional<change> edit = decode_change(record.payload);
+        if (!edit)
+        {
+            stop(make_failure(error_kind::storage_corrupt,
+                              "record " + std::to_string(record.index) + " is malformed"));
+            return;
+        }
+        result = state_.apply(record.index, *edit);
+        counters_.generation = state_.data().held;
+        is_update_due_ = true;
+    }
+    finish_proposal(record, result);
+}
+
+void control_server::finish_proposal(const log_record& record, const change_result& result)
+{
+    auto found = proposals_.extract(record.index);
+    if (!found)
+    {
+        return;
+    }
+    pending_proposal& proposal = found.mapped();
+    if (!proposal.done)
+    {
+        return;
+    }
+    if (proposal.term != record.term)
+    {
+        ++counters_.not_confirmed;
+        proposal.done(make_error_reply(proposal.number, error_kind::not_confirmed,
+                                       "another leader took over"));
+        return;
+    }
+    ++(result.error == error_kind::none ? counters_.accepted : counters_.refused);
+    reply_pointer reply = std::make_unique<buffers::reply_object>();
+    reply->number = proposal.number;
+    reply->generation = record.index;
+    reply->result = pack_result(result);
+    proposal.done(std::move(reply));
+}
+
+void control_server::fail_proposals_after_leadership()
+{
+    for (const auto& [index, proposal] : std::exchange(proposals_, {}))
+    {
+        if (proposal.done)
+        {
+            ++counters_.not_confirmed;
+            proposal.done(make_error_reply(proposal.number, error_kind::not_confirmed,
+                                           "the leader stepped down before a majority had it"));
+        }
+    }
+}
+
+void control_server::take_snapshot_if_due()
+{
+    const log_index applied = core_->commit_index();
+    const bool is_voter_change_open = core_->log().voters_index() > applied;
+    if (is_voter_change_open || applied < core_->log().base().index + settings_.snapshot_every)
+    {
+        return;
+    }
+    snapshot taken;
+    taken.index = applied;
+    taken.term = core_->log().term_at(applied);
+    taken.voters = core_->log().voters();
+    taken.state = encode_state(state_);
+    if (failure failed = store_.save_snapshot(taken, true))
+    {
+        stop(failed);
+        return;
+    }
+    core_->compact(taken);
+    log_info("saved a snapshot at " + std::to_string(taken.index));
+}
+
+void control_server::on_timer()
+{
+    core_->tick(now());
+    pump();
+    if (is_update_due_)
+    {
+        is_update_due_ = false;
+        send_updates();
+    }
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            if (!error)
+            {
+                on_timer();
+            }
+        });
+}
+
+void control_server::on_lease_timer()
+{
+    connect_peers();
+    const time_point instant = now();
+    fail_forwarded([instant](const pending_request& request)
+                   { return instant - request.asked >= request_timeout; },
+                   "the leader did not answer in time");
+    if (core_->role() == consensus_role::leader)
+    {
+        for (const auto& [connection, who] : subscribers_)
+        {
+            if (instant - who.heard < lease_interval * 2)
+            {
+                leases_.hear(instant, who.report);
+            }
+        }
+        for (const change& due : leases_.collect_changes(instant, state_))
+        {
+            propose_change(due, 0, nullptr);
+        }
+        renew_voters();
+    }
+    else if (const connection_pointer leader =
+                 core_->leader() == 0 ? nullptr : connection_of(core_->leader()))
+    {
+        frame digest;
+        digest.digest = std::make_unique<buffers::lease_digest_object>();
+        for (const auto& [connection, who] : subscribers_)
+        {
+            if (instant - who.heard < lease_interval * 2)
+            {
+                digest.digest->leases.push_back(pack_report(who.report));
+            }
+        }
+        leader->send(digest);
+    }
+    schedule_pump();
+    lease_timer_.expires_after(lease_interval);
+    lease_timer_.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            if (!error)
+            {
+                on_lease_timer();
+            }
+        });
+}
+
+void control_server::renew_voters()
+{
+    const std::vector<instance_id> voters = core_->log().voters();
+    for (const auto& [slot, identity] : identity_of_slot_)
+    {
+        const bool is_voter = std::find(voters.begin(), voters.end(), identity) != voters.end();
+        if (!is_voter)
+        {
+            core_->add_learner(identity);
+            if (core_->match_of(identity) != 0 &&
+                core_->match_of(identity) + caught_up_within >= core_->commit_index())
+            {
+                std::vector<instance_id> more = voters;
+                more.push_back(identity);
+                if (core_->propose_voters(now(), more))
+                {
+                    log_info("slot " + std::to_string(slot) + " has caught up and votes now");
+                    return;
+                }
+            }
+            continue;
+        }
+        for (const instance_id old : voters)
+        {
+            if (old != identity && slot_of(old) == slot)
+            {
+                std::vector<instance_id> fewer = voters;
+                fewer.erase(std::find(fewer.begin(), fewer.end(), old));
+                if (core_->propose_voters(now(), fewer))
+                {
+                    log_info("the lost identity of slot " + std::to_string(slot) +
+                             " votes no more");
+                }
+                return;
+            }
+        }
+    }
+}
+
+void control_server::handle_subscription(const connection_pointer& connection,
+                                         const buffers::subscribe_object& subscription)
+{
+    subscriber& added = subscribers_[connection.get()];
+    added.connection = connection;
+    added.report = unpack_report(*subscription.lease);
+    added.service = subscription.service;
+    added.sent = 0;
+    added.heard = now();
+    // A daemon that is ahead of this instance keeps what it has.
+    if (added.report.held != 0 && added.report.held >= state_.data().horizon)
+    {
+        added.sent = added.report.held;
+    }
+    send_update(added);
+    encoded_.clear();
+}
+
+void control_server::handle_report(const connection_pointer& connection,
+                                   const buffers::daemon_lease_object& packed)
+{
+    const auto found = subscribers_.find(connection.get());
+    if (found != subscribers_.end())
+    {
+        found->second.report = unpack_report(packed);
+        found->second.heard = now();
+    }
+}
+
+void control_server::send_updates()
+{
+    for (auto& [connection, who] : subscribers_)
+    {
+        send_update(who);
+    }
+    encoded_.clear();
+}
+
+void control_server::send_update(subscriber& to)
+{
+    const generation current = state_.data().held;
+    if (to.sent >= current)
+    {
+        return;
+    }
+    const std::string only =
+        to.report.kind == daemon_kind::agent ? (to.service.empty() ? "-" : to.service) : "";
+    std::shared_ptr<const std::string>& bytes = encoded_[{to.sent, only}];
+    if (!bytes)
+    {
+        frame update;
+        update.update = pack_update(state_.collect_update(to.sent, only));
+        bytes = std::make_shared<const std::string>(encode_frame(update));
+    }
+    to.connection->send_encoded(bytes);
+    ++counters_.updates_sent;
+    counters_.update_bytes += bytes->size();
+    to.sent = current;
+}
+
+std::vector<metric_sample> control_server::samples() const
+{
+    return {
+        {"control_requests_total", "accepted", static_cast<double>(counters_.accepted)},
+        {"control_requests_total", "refused", static_cast<double>(counters_.refused)},
+        {"control_requests_total", "forwarded", static_cast<double>(counters_.forwarded)},
+        {"control_requests_total", "no_leader", static_cast<double>(counters_.no_leader)},
+        {"control_requests_total", "not_confirmed", static_cast<double>(counters_.not_confirmed)},
+        {"control_broken_frames_total", "", static_cast<double>(counters_.broken_frames)},
+        {"control_syncs_total", "", static_cast<double>(counters_.syncs)},
+        {"control_updates_sent_total", "", static_cast<double>(counters_.updates_sent)},
+        {"control_update_bytes_total", "", static_cast<double>(counters_.update_bytes)},
+        {"control_generation", "", static_cast<double>(counters_.generation), false},
+        {"control_term", "", static_cast<double>(counters_.term), false},
+        {"control_is_leader", "", static_cast<double>(counters_.is_leader), false},
+    };
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -0,0 +1,177 @@
+#pragma once
+
+#include "carawayshelf_catalogue/cluster_state.hpp"
+#include "carawayshelf_consensus/consensus_core.hpp"
+#include "carawayshelf_io/control_protocol.hpp"
+#include "carawayshelf_io/file_log_store.hpp"
+#include "carawayshelf_io/frame_connection.hpp"
+#include "carawayshelf_io/lease_table.hpp"
+#include "carawayshelf_io/metrics_page.hpp"
+#include "carawayshelf_io/settings.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace carawayshelf
+{
+
+/** Counters of a control instance; any thread may read them. */
+struct control_counters
+{
+    std::atomic<std::uint64_t> accepted{0};
+    std::atomic<std::uint64_t> refused{0};
+    std::atomic<std::uint64_t> forwarded{0};
+    std::atomic<std::uint64_t> no_leader{0};
+    std::atomic<std::uint64_t> not_confirmed{0};
+    std::atomic<std::uint64_t> broken_frames{0};
+    std::atomic<std::uint64_t> syncs{0};
+    std::atomic<std::uint64_t> updates_sent{0};
+    std::atomic<std::uint64_t> update_bytes{0};
+    std::atomic<std::uint64_t> generation{0};
+    std::atomic<std::uint64_t> term{0};
+    std::atomic<std::uint64_t> is_leader{0};
+};
+
+/** One control instance: the consensus core, its disk, its peers, its subscribers and operators.
+    Everything runs on the io_context's one thread. */
+class control_server
+{
+public:
+    control_server(boost::asio::io_context& io, const control_settings& settings);
+
+    /** Loads the data folder and starts to listen.
+        Errors: storage_failed, storage_corrupt, invalid_settings. */
+    failure start();
+
+    /** Why it stopped by itself, if it did. */
+    const failure& stop_reason() const
+    {
+        return stop_reason_;
+    }
+
+    /** Values for the metrics page. Thread-safe. */
+    std::vector<metric_sample> samples() const;
+
+private:
+    using connection_pointer = std::shared_ptr<frame_connection>;
+    using reply_pointer = std::unique_ptr<buffers::reply_object>;
+    using reply_handler = std::function<void(reply_pointer)>;
+
+    /** An outgoing connection to another control instance. */
+    struct peer_link
+    {
+        endpoint address;
+        connection_pointer connection;
+        bool is_connecting = false;
+    };
+
+    /** A daemon that gets updates on its connection. */
+    struct subscriber
+    {
+        connection_pointer connection;
+        daemon_report report;
+        std::string service;
+        generation sent = 0;
+        time_point heard;
+    };
+
+    struct pending_proposal
+    {
+        term_number term = 0;
+        std::uint64_t number = 0;
+        reply_handler done;
+    };
+
+    struct pending_request
+    {
+        std::uint64_t number = 0;
+        reply_handler done;
+        time_point asked;
+        connection_pointer via;
+    };
+
+    struct pending_read
+    {
+        buffers::request_object request;
+        reply_handler done;
+    };
+
+    void accept_next();
+    void start_connection(const connection_pointer& connection);
+    void handle_frame(const connection_pointer& connection, frame& received);
+    void connect_peers();
+    void connect_peer(std::size_t slot);
+    void send_hello(const connection_pointer& connection);
+    void send_message(const message& value);
+    connection_pointer connection_of(instance_id peer) const;
+
+    void handle_hello(const buffers::peer_hello_object& hello);
+    void handle_request(const buffers::request_object& request, reply_handler done);
+    void lead_request(const buffers::request_object& request, reply_handler done);
+    void propose(const buffers::request_object& request, reply_handler done);
+    void propose_change(const change& edit, std::uint64_t number, reply_handler done);
+    void bootstrap(const buffers::request_object& request, const reply_handler& done);
+    void forward(const buffers::request_object& request, reply_handler done);
+    void handle_forwarded_reply(reply_pointer reply);
+    void fail_forwarded(const std::function<bool(const pending_request&)>& picks, const char* why);
+    reply_pointer read_reply(const buffers::request_object& request);
+    void fill_status(buffers::status_object& status);
+    bool is_safe_to_lose_one() const;
+
+    void schedule_pump();
+    void pump();
+    failure store_output(const consensus_output& output);
+    void apply_committed(const log_record& record);
+    void finish_proposal(const log_record& record, const change_result& result);
+    void fail_proposals_after_leadership();
+    void take_snapshot_if_due();
+    void stop(const failure& why);
+
+    void on_timer();
+    void on_lease_timer();
+    void renew_voters();
+    void handle_subscription(const connection_pointer& connection,
+                             const buffers::subscribe_object& subscription);
+    void handle_report(const connection_pointer& connection,
+                       const buffers::daemon_lease_object& packed);
+    void send_updates();
+    void send_update(subscriber& to);
+    void drop_connection(const connection_pointer& connection);
+    static time_point now();
+
+    boost::asio::io_context& io_;
+    control_settings settings_;
+    file_log_store store_;
+    std::unique_ptr<consensus_core> core_;
+    cluster_state state_;
+    lease_table leases_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer timer_;
+    boost::asio::steady_timer lease_timer_;
+    std::vector<peer_link> peers_;
+    std::map<std::uint16_t, instance_id> identity_of_slot_;
+    std::map<frame_connection*, connection_pointer> connections_;
+    std::map<frame_connection*, subscriber> subscribers_;
+    std::map<log_index, pending_proposal> proposals_;
+    std::map<read_ticket, pending_read> reads_;
+    std::map<std::uint64_t, pending_request> forwarded_;
+    std::uint64_t last_forwarded_ = 0;
+    bool was_leader_ = false;
+    bool is_pump_scheduled_ = false;
+    bool is_update_due_ = false;
+    std::map<std::pair<generation, std::string>, std::shared_ptr<const std::string>> encoded_;
+    failure stop_reason_;
+    control_counters counters_;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/file_log_store.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "carawayshelf_consensus/log_store.hpp"
+#include "carawayshelf_io/unique_fd.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace carawayshelf
+{
+
+/** The data folder of a control instance.
+
+    Files: "identity" (minted when the folder is made), "snapshot", "log" (checksummed records: hard
+    states and log records in the order written) and "synced" (how much of the log was synced last,
+    so that damage to synced records is told from a torn end). The log is written anew when a
+    snapshot is saved. Not thread-safe.
+*/
+class file_log_store : public log_store
+{
+public:
+    /** @param folder  made if missing
+        @param slot    place of this instance; becomes part of a new identity */
+    file_log_store(std::string folder, std::uint16_t slot);
+
+    failure load(stored_state& loaded) override;
+    failure save_hard_state(const hard_state& hard) override;
+    failure append(const std::vector<log_record>& records) override;
+    failure sync() override;
+    failure save_snapshot(const snapshot& taken, bool keep_later) override;
+
+private:
+    failure load_identity(stored_state& loaded);
+    failure load_snapshot(stored_state& loaded);
+    failure load_log(stored_state& loaded);
+    failure take_record(std::string_view body, stored_state& loaded);
+    failure open_log(std::uint64_t length);
+    failure write_block(char kind, std::string_view body);
+    failure write_log_anew(const std::vector<log_record>& records);
+    failure replace_file(const std::string& name, const std::string& content);
+    std::string path(const std::string& name) const;
+
+    std::string folder_;
+    std::uint16_t slot_;
+    unique_fd log_;
+    unique_fd synced_;
+    std::uint64_t length_ = 0;
+    hard_state hard_;
+    std::vector<log_record> records_; ///< Those in the log file, to write it anew.
+};
+
+/** Slot that an identity was minted for. Thread-safe. */
+std::uint16_t slot_of(instance_id identity);
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/frame_connection.cpp
@@ -0,0 +1,146 @@
+#include "carawayshelf_io/frame_connection.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+namespace carawayshelf
+{
+
+boost::asio::ip::tcp::endpoint to_asio(const endpoint& value)
+{
+    return {boost::asio::ip::address_v4(value.address), value.port};
+}
+
+frame_connection::frame_connection(boost::asio::ip::tcp::socket socket) : socket_(std::move(socket))
+{
+    boost::system::error_code ignored;
+    socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+}
+
+void frame_connection::start(frame_handler on_frame, close_handler on_close)
+{
+    on_frame_ = std::move(on_frame);
+    on_close_ = std::move(on_close);
+    read_prefix();
+}
+
+void frame_connection::read_prefix()
+{
+    boost::asio::async_read(
+        socket_, boost::asio::buffer(prefix_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t /*size*/)
+        {
+            if (error)
+            {
+                self->close(make_failure(error_kind::unreachable, error.message()));
+                return;
+            }
+            const std::size_t size = decode_prefix(self->prefix_.data());
+            if (size == 0 || size > max_frame_bytes)
+            {
+                self->close(make_failure(error_kind::malformed_frame,
+                                         "a frame of " + std::to_string(size) + " bytes"));
+                return;
+            }
+            self->read_body(size);
+        });
+}
+
+void frame_connection::read_body(std::size_t size)
+{
+    body_.resize(size);
+    boost::asio::async_read(
+        socket_, boost::asio::buffer(body_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t /*size*/)
+        {
+            if (error)
+            {
+                self->close(make_failure(error_kind::unreachable, error.message()));
+                return;
+            }
+            frame received;
+            const failure broken = decode_frame(self->body_, received);
+            if (broken)
+            {
+                self->close(broken);
+                return;
+            }
+            if (self->on_frame_)
+            {
+                // The handler may close the connection and so let go of itself.
+                const frame_handler handler = self->on_frame_;
+                handler(received);
+            }
+            if (self->is_open_)
+            {
+                self->read_prefix();
+            }
+        });
+}
+
+void frame_connection::send(const frame& value)
+{
+    send_encoded(std::make_shared<const std::string>(encode_frame(value)));
+}
+
+void frame_connection::send_encoded(std::shared_ptr<const std::string> bytes)
+{
+    if (!is_open_)
+    {
+        return;
+    }
+    waiting_bytes_ += bytes->size();
+    if (waiting_bytes_ > max_waiting_bytes)
+    {
+        close(make_failure(error_kind::unreachable, "the peer reads too slowly"));
+        return;
+    }
+    waiting_.push_back(std::move(bytes));
+    if (waiting_.size() == 1)
+    {
+        write_next();
+    }
+}
+
+void frame_connection::write_next()
+{
+    boost::asio::async_write(
+        socket_, boost::asio::buffer(*waiting_.front()),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t size)
+        {
+            if (error || !self->is_open_)
+            {
+                self->close(make_failure(error_kind::unreachable, error.message()));
+                return;
+            }
+            self->sent_bytes_ += size;
+            self->waiting_bytes_ -= size;
+            self->waiting_.pop_front();
+            if (!self->waiting_.empty())
+            {
+                self->write_next();
+            }
+        });
+}
+
+void frame_connection::close(const failure& why)
+{
+    if (!is_open_)
+    {
+        return;
+    }
+    is_open_ = false;
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    on_frame_ = nullptr;
+    const close_handler handler = std::exchange(on_close_, nullptr);
+    if (handler)
+    {
+        handler(why);
+    }
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/frame_connection.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "carawayshelf_core/endpoint.hpp"
+#include "carawayshelf_core/error.hpp"
+#include "carawayshelf_wire/frame_codec.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace carawayshelf
+{
+
+boost::asio::ip::tcp::endpoint to_asio(const endpoint& value);
+
+/** A TCP connection that carries frames. Lives as long as somebody holds it or it reads. All calls
+    and handlers run on its io_context's thread. */
+class frame_connection : public std::enable_shared_from_this<frame_connection>
+{
+public:
+    using frame_handler = std::function<void(frame&)>;
+    using close_handler = std::function<void(const failure&)>;
+
+    /** Bytes that may wait for a slow peer; more closes the connection. */
+    static constexpr std::size_t max_waiting_bytes = 512U * 1024U * 1024U;
+
+    explicit frame_connection(boost::asio::ip::tcp::socket socket);
+
+    /** Starts to read. The handlers are let go when the connection closes. */
+    void start(frame_handler on_frame, close_handler on_close);
+
+    void send(const frame& value);
+
+    /** Sends a frame that encode_frame() made, so that many connections can share it. */
+    void send_encoded(std::shared_ptr<const std::string> bytes);
+
+    /** Closes, and calls the close handler once. */
+    void close(const failure& why);
+
+    bool is_open() const
+    {
+        return is_open_;
+    }
+
+    std::uint64_t sent_bytes() const
+    {
+        return sent_bytes_;
+    }
+
+private:
+    void read_prefix();
+    void read_body(std::size_t size);
+    void write_next();
+
+    boost::asio::ip::tcp::socket socket_;
+    std::array<std::uint8_t, frame_prefix_bytes> prefix_{};
+    std::string body_;
+    std::deque<std::shared_ptr<const std::string>> waiting_;
+    std::size_t waiting_bytes_ = 0;
+    std::uint64_t sent_bytes_ = 0;
+    bool is_open_ = true;
+    frame_handler on_frame_;
+    close_handler on_close_;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/json_log.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+namespace carawayshelf
+{
+
+/** Sends log4cxx output to standard error as JSON lines. Call once, before any thread starts. */
+void start_json_log(const std::string& role, const std::string& instance);
+
+/** Each writes one line. Thread-safe. Not for traffic: use counters there. */
+void log_info(const std::string& text);
+void log_warning(const std::string& text);
+void log_error(const std::string& text);
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/lease_table.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "carawayshelf_catalogue/cluster_state.hpp"
+#include "carawayshelf_core/clock_time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace carawayshelf
+{
+
+/** What kind of daemon holds a lease. */
+enum class daemon_kind : std::uint8_t
+{
+    balancer,
+    agent
+};
+
+inline constexpr name_table<daemon_kind, 2> daemon_kind_names{{"balancer", "agent"}};
+
+/** What a daemon reports of itself with every heartbeat. */
+struct daemon_report
+{
+    daemon_kind kind = daemon_kind::balancer;
+    std::string name;
+    std::string domain;
+    member_id member = 0; ///< Of an agent whose server is announced, else zero.
+    generation held = 0;  ///< Generation that it has put in force.
+    member_state state = member_state::cold;
+    std::vector<released_bucket> released;
+};
+
+/** The leases at the leader: who is live, what generation each holds, and which changes follow
+    from that. A new leader starts with an empty table, and gives every member a whole lease to be
+    heard of. Not thread-safe; no I/O. */
+class lease_table
+{
+public:
+    explicit lease_table(duration lease);
+
+    /** This instance has just become the leader. */
+    void start(time_point now);
+
+    void hear(time_point now, const daemon_report& report);
+
+    /** Changes that should be proposed now: members to retire, states to set, buckets to release.
+        Each is handed out again after a while, in case its proposal was lost. */
+    std::vector<change> collect_changes(time_point now, const cluster_state& state);
+
+    /** Daemons with a lease. */
+    std::vector<daemon_report> live(time_point now) const;
+
+    /** Names of live daemons that don't hold a generation yet. */
+    std::vector<std::string> lagging(time_point now, generation wanted) const;
+
+private:
+    struct lease_entry
+    {
+        daemon_report report;
+        time_point heard;
+    };
+
+    bool is_due(time_point now, const std::string& what);
+    void collect_for_member(time_point now, const member& who, std::vector<change>& changes);
+    void collect_releases(time_point now, const cluster_state& state, const daemon_report& report,
+                          std::vector<change>& changes);
+
+    duration lease_;
+    time_point started_;
+    std::map<std::string, lease_entry> leases_;
+    std::map<member_id, time_point> members_heard_;
+    std::map<std::string, time_point> proposed_;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/metrics_page.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "carawayshelf_core/endpoint.hpp"
+#include "carawayshelf_core/error.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace carawayshelf
+{
+
+/** One value on the page: a metric, its reason label if it has one, and the value. */
+struct metric_sample
+{
+    std::string metric;
+    std::string reason; ///< Empty for a metric without reasons.
+    double value = 0;
+    bool is_counter = true;
+};
+
+/** Appends one sample for each name of an enumeration. */
+template <typename Names, typename Counters>
+void add_reason_samples(std::vector<metric_sample>& samples, const std::string& metric,
+                        const Names& names, const Counters& counters)
+{
+    for (std::size_t i = 0; i < Names::size(); ++i)
+    {
+        using enum_type = std::decay_t<decltype(*names.find(""))>;
+        const enum_type reason = static_cast<enum_type>(i);
+        samples.push_back(
+            {metric, std::string(names.name(reason)), static_cast<double>(counters.get(reason))});
+    }
+}
+
+/** The Prometheus page of a daemon, served by prometheus-cpp on a thread of its own. */
+class metrics_page
+{
+public:
+    using source = std::function<std::vector<metric_sample>()>;
+
+    metrics_page();
+    ~metrics_page();
+
+    /** Starts to serve. Does nothing for an address of none. The source is called from the page's
+        own threads. Errors: usage, when the address can't be bound. */
+    failure start(const endpoint& address, source read);
+
+private:
+    class collector;
+    struct exposer_holder;
+    std::shared_ptr<collector> collector_;
+    std::unique_ptr<exposer_holder> exposer_;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/operator_client.cpp
@@ -0,0 +1,119 @@
+#include "carawayshelf_io/operator_client.hpp"
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds one_try(6000);
+constexpr std::chrono::milliseconds between_tries(200);
+
+bool is_worth_another_try(error_kind error)
+{
+    return error == error_kind::no_leader || error == error_kind::not_confirmed;
+}
+
+/** Copies a request; the generated types have no copy. */
+std::unique_ptr<buffers::request_object> copy_request(const buffers::request_object& request)
+{
+    std::unique_ptr<buffers::request_object> copy = std::make_unique<buffers::request_object>();
+    copy->number = request.number;
+    copy->kind = request.kind;
+    copy->name = request.name;
+    copy->generation = request.generation;
+    const std::optional<change> edit =
+        request.proposed ? unpack_change(*request.proposed) : std::optional<change>();
+    if (edit)
+    {
+        copy->proposed = pack_change(*edit);
+    }
+    return copy;
+}
+
+} // namespace
+
+operator_client::operator_client(std::vector<endpoint> instances, std::chrono::milliseconds timeout)
+    : instances_(std::move(instances)), timeout_(timeout)
+{
+}
+
+failure operator_client::call(const buffers::request_object& request, buffers::reply_object& reply)
+{
+    const std::chrono::steady_clock::time_point give_up =
+        std::chrono::steady_clock::now() + timeout_;
+    // Only a request that no instance took may be called unreachable.
+    error_kind last = error_kind::unreachable;
+    std::string detail;
+    do
+    {
+        for (const endpoint& instance : instances_)
+        {
+            if (!call_one(instance, request, reply))
+            {
+                continue;
+            }
+            const error_kind error = static_cast<error_kind>(reply.error);
+            if (!is_worth_another_try(error))
+            {
+                return {};
+            }
+            if (last != error_kind::not_confirmed)
+            {
+                last = error;
+                detail = reply.detail;
+            }
+        }
+        std::this_thread::sleep_for(between_tries);
+    } while (std::chrono::steady_clock::now() < give_up);
+    return make_failure(last, detail);
+}
+
+bool operator_client::call_one(const endpoint& instance, const buffers::request_object& request,
+                               buffers::reply_object& reply)
+{
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket socket(io);
+    bool is_sent = false;
+    bool is_done = false;
+    std::shared_ptr<frame_connection> connection;
+    socket.async_connect(to_asio(instance),
+                         [&](const boost::system::error_code& error)
+                         {
+                             if (error)
+                             {
+                                 io.stop();
+                                 return;
+                             }
+                             connection = std::make_shared<frame_connection>(std::move(socket));
+                             connection->start(
+                                 [&](frame& received)
+                                 {
+                                     if (received.client_reply)
+                                     {
+                                         reply = std::move(*received.client_reply);
+                                         is_done = true;
+                                         io.stop();
+                                     }
+                                 },
+                                 [&io](const failure& /*why*/) { io.stop(); });
+                             frame sent;
+                             sent.client_request = copy_request(request);
+                             connection->send(sent);
+                             is_sent = true;
+                         });
+    io.run_for(std::min(one_try, timeout_));
+    if (is_sent && !is_done)
+    {
+        reply.error = static_cast<std::uint8_t>(error_kind::not_confirmed);
+        reply.detail = "control instance " + to_string(instance) + " gave no answer";
+        return true;
+    }
+    return is_done;
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/operator_client.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "carawayshelf_io/control_protocol.hpp"
+#include "carawayshelf_io/frame_connection.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <memory>
+#include <vector>
+
+namespace carawayshelf
+{
+
+/** Asks control instances on behalf of an operator, and waits for the answer. Goes to the next
+    instance when one can't be reached, has no leader or loses the answer, so requests must be
+    idempotent: a change carries its id. Not thread-safe. */
+class operator_client
+{
+public:
+    operator_client(std::vector<endpoint> instances, std::chrono::milliseconds timeout);
+
+    /** Sends a request and waits for its reply.
+        Errors: unreachable, no_leader, not_confirmed; others are in the reply itself. */
+    failure call(const buffers::request_object& request, buffers::reply_object& reply);
+
+private:
+    bool call_one(const endpoint& instance, const buffers::request_object& request,
+                  buffers::reply_object& reply);
+
+    std::vector<endpoint> instances_;
+    std::chrono::milliseconds timeout_;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/settings.cpp
@@ -0,0 +1,232 @@
+#include "carawayshelf_io/settings.hpp"
+
+#include "carawayshelf_catalogue/entry_validation.hpp"
+
+#include <boost/property_tree/ini_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+
+#include <charconv>
+#include <optional>
+#include <set>
+#include <sstream>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+/** Reads one file and gathers its faults. */
+class settings_reader
+{
+public:
+    explicit settings_reader(const std::string& file) : file_(file)
+    {
+        try
+        {
+            boost::property_tree::read_ini(file, tree_);
+        }
+        catch (const boost::property_tree::ini_parser_error& error)
+        {
+            faults_.push_back(file + ": " + error.message() + " at line " +
+                              std::to_string(error.line()) +
+                              ": give a readable INI file, see the samples in config/");
+            is_readable_ = false;
+        }
+    }
+
+    std::string read_name(const char* section, const char* key)
+    {
+        const std::optional<std::string> text = find(section, key, true);
+        if (text && !is_valid_name(*text))
+        {
+            add_fault(section, key, *text, "use 1 to 63 of a-z, 0-9, '-' and '.'");
+        }
+        return text.value_or("");
+    }
+
+    std::string read_text(const char* section, const char* key)
+    {
+        const std::optional<std::string> text = find(section, key, true);
+        if (text && text->empty())
+        {
+            add_fault(section, key, *text, "give a value");
+        }
+        return text.value_or("");
+    }
+
+    endpoint read_endpoint(const char* section, const char* key, bool required)
+    {
+        const std::optional<std::string> text = find(section, key, required);
+        const std::optional<endpoint> value = text ? parse_endpoint(*text) : endpoint{};
+        if (!value)
+        {
+            add_fault(section, key, *text, "give ADDRESS:PORT, such as 127.0.0.1:7001");
+        }
+        return value.value_or(endpoint{});
+    }
+
+    std::uint32_t read_address(const char* section, const char* key)
+    {
+        const std::optional<std::string> text = find(section, key, false);
+        const std::optional<std::uint32_t> value =
+            text ? parse_address(*text) : std::optional<std::uint32_t>(0);
+        if (!value)
+        {
+            add_fault(section, key, *text, "give an IPv4 address, such as 127.0.2.1");
+        }
+        return value.value_or(0);
+    }
+
+    std::vector<endpoint> read_endpoints(const char* section, const char* key)
+    {
+        std::vector<endpoint> values;
+        const std::optional<std::string> text = find(section, key, true);
+        std::istringstream parts(text.value_or(""));
+        std::string part;
+        while (std::getline(parts, part, ','))
+        {
+            part.erase(0, part.find_first_not_of(' '));
+            part.erase(part.find_last_not_of(' ') + 1);
+            const std::optional<endpoint> value = parse_endpoint(part);
+            if (!value)
+            {
+                add_fault(section, key, part, "give ADDRESS:PORT, several with commas between");
+                continue;
+            }
+            values.push_back(*value);
+        }
+        if (text && values.empty())
+        {
+            add_fault(section, key, *text, "give at least one ADDRESS:PORT");
+        }
+        return values;
+    }
+
+    std::uint32_t read_number(const char* section, const char* key, std::uint32_t fallback,
+                              std::uint32_t lowest, std::uint32_t highest)
+    {
+        const std::optional<std::string> text = find(section, key, false);
+        if (!text)
+        {
+            return fallback;
+        }
+        std::uint32_t value = 0;
+        const char* const end = text->data() + text->size();
+        const std::from_chars_result result = std::from_chars(text->data(), end, value);
+        if (result.ec != std::errc() || result.ptr != end || value < lowest || value > highest)
+        {
+            add_fault(section, key, *text,
+                      "choose from " + std::to_string(lowest) + " to " + std::to_string(highest));
+        }
+        return value;
+    }
+
+    void add_fault(const std::string& section, const std::string& key, const std::string& seen,
+                   const std::string& remedy)
+    {
+        faults_.push_back(file_ + ": [" + section + "] " + key + " is '" + seen + "': " + remedy);
+    }
+
+    failure finish()
+    {
+        for (const auto& [section, keys] : tree_)
+        {
+            for (const auto& [key, value] : keys)
+            {
+                if (known_.count(section + "." + key) == 0)
+                {
+                    add_fault(section, key, value.data(), "unknown key, remove or correct it");
+                }
+            }
+            if (keys.empty())
+            {
+                add_fault(section, "", tree_.get<std::string>(section),
+                          "empty section or key outside a section, remove or correct it");
+            }
+        }
+        if (faults_.empty())
+        {
+            return {};
+        }
+        std::string all;
+        for (const std::string& fault : faults_)
+        {
+            all += all.empty() ? fault : "\n" + fault;
+        }
+        return make_failure(error_kind::invalid_settings, all);
+    }
+
+private:
+    std::optional<std::string> find(const std::string& section, const std::string& key,
+                                    bool required)
+    {
+        known_.insert(section + "." + key);
+        const boost::optional<std::string> value =
+            tree_.get_optional<std::string>(section + "." + key);
+        if (!value)
+        {
+            if (required && is_readable_)
+            {
+                faults_.push_back(file_ + ": [" + section + "] " + key +
+                                  " is missing: add it, see the samples in config/");
+            }
+            return std::nullopt;
+        }
+        return *value;
+    }
+
+    std::string file_;
+    boost::property_tree::ptree tree_;
+    bool is_readable_ = true;
+    std::set<std::string> known_;
+    std::vector<std::string> faults_;
+};
+
+} // namespace
+
+failure load_settings(const std::string& file, balancer_settings& loaded)
+{
+    settings_reader reader(file);
+    loaded.name = reader.read_name("balancer", "name");
+    loaded.domain = reader.read_name("balancer", "domain");
+    loaded.data = reader.read_endpoint("balancer", "data_address", true);
+    loaded.entry_address = reader.read_address("balancer", "entry_address");
+    loaded.workers = reader.read_number("balancer", "workers", 1, 1, 64);
+    loaded.metrics = reader.read_endpoint("metrics", "address", false);
+    loaded.control = reader.read_endpoints("control", "instances");
+    return reader.finish();
+}
+
+failure load_settings(const std::string& file, agent_daemon_settings& loaded)
+{
+    settings_reader reader(file);
+    loaded.name = reader.read_name("agent", "name");
+    loaded.domain = reader.read_name("agent", "domain");
+    loaded.data = reader.read_endpoint("agent", "data_address", true);
+    loaded.announce = reader.read_endpoint("agent", "announce_address", true);
+    loaded.metrics = reader.read_endpoint("metrics", "address", false);
+    loaded.control = reader.read_endpoints("control", "instances");
+    return reader.finish();
+}
+
+failure load_settings(const std::string& file, control_settings& loaded)
+{
+    settings_reader reader(file);
+    loaded.slot = static_cast<std::uint16_t>(reader.read_number("control", "slot", 0, 1, 64));
+    loaded.data_folder = reader.read_text("control", "data_folder");
+    loaded.peers = reader.read_endpoints("control", "instances");
+    loaded.lease_ms = reader.read_number("control", "lease_ms", loaded.lease_ms, 500, 60000);
+    loaded.snapshot_every =
+        reader.read_number("control", "snapshot_every", loaded.snapshot_every, 10, 1000000);
+    loaded.metrics = reader.read_endpoint("metrics", "address", false);
+    if (loaded.slot < 1 || loaded.slot > loaded.peers.size())
+    {
+        reader.add_fault("control", "slot", std::to_string(loaded.slot),
+                         "choose the place of this instance in 'instances', from 1 to " +
+                             std::to_string(loaded.peers.size()));
+    }
+    return reader.finish();
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/udp_socket.cpp
@@ -0,0 +1,127 @@
+#include "carawayshelf_io/udp_socket.hpp"
+
+#include <arpa/inet.h>
+
+#include <cerrno>
+#include <cstring>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+constexpr int socket_buffer_bytes = 4 * 1024 * 1024;
+
+} // namespace
+
+sockaddr_in to_socket_address(const endpoint& value)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(value.address);
+    address.sin_port = htons(value.port);
+    return address;
+}
+
+endpoint from_socket_address(const sockaddr_in& value)
+{
+    return {ntohl(value.sin_addr.s_addr), ntohs(value.sin_port)};
+}
+
+failure open_udp_socket(const endpoint& address, unique_fd& opened, bool shared)
+{
+    unique_fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    const int on = 1;
+    ::setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &socket_buffer_bytes,
+                 sizeof(socket_buffer_bytes));
+    ::setsockopt(fd.get(), SOL_SOCKET, SO_SNDBUF, &socket_buffer_bytes,
+                 sizeof(socket_buffer_bytes));
+    if (shared)
+    {
+        ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
+    }
+    const sockaddr_in bound = to_socket_address(address);
+    if (!fd.is_open() ||
+        ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&bound), sizeof(bound)) != 0)
+    {
+        return make_failure(error_kind::invalid_settings,
+                            "UDP address " + to_string(address) +
+                                " can't be bound: " + std::strerror(errno));
+    }
+    opened = std::move(fd);
+    return {};
+}
+
+unique_fd connect_udp_socket(const endpoint& peer)
+{
+    unique_fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    const sockaddr_in address = to_socket_address(peer);
+    if (fd.is_open() &&
+        ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0)
+    {
+        fd.reset();
+    }
+    return fd;
+}
+
+receive_batch::receive_batch() : buffers_(batch_size)
+{
+    for (std::size_t i = 0; i < batch_size; ++i)
+    {
+        parts_[i] = {buffers_[i].data(), buffers_[i].size()};
+        messages_[i].msg_hdr.msg_iov = &parts_[i];
+        messages_[i].msg_hdr.msg_iovlen = 1;
+        messages_[i].msg_hdr.msg_name = &senders_[i];
+    }
+}
+
+std::size_t receive_batch::receive(int fd)
+{
+    for (mmsghdr& message : messages_)
+    {
+        message.msg_hdr.msg_namelen = sizeof(sockaddr_in);
+    }
+    const int received = ::recvmmsg(fd, messages_.data(), batch_size, MSG_DONTWAIT, nullptr);
+    return received > 0 ? static_cast<std::size_t>(received) : 0;
+}
+
+send_batch::send_batch() : headers_(batch_size)
+{
+    for (std::size_t i = 0; i < batch_size; ++i)
+    {
+        messages_[i].msg_hdr.msg_iov = parts_[i].data();
+        messages_[i].msg_hdr.msg_iovlen = 2;
+        messages_[i].msg_hdr.msg_name = &receivers_[i];
+        messages_[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
+    }
+}
+
+void send_batch::add(const endpoint& to, std::size_t header_size, std::string_view body)
+{
+    receivers_[count_] = to_socket_address(to);
+    parts_[count_][0] = {headers_[count_].data(), header_size};
+    parts_[count_][1] = {const_cast<char*>(body.data()), body.size()};
+    ++count_;
+}
+
+std::size_t send_batch::flush(int fd)
+{
+    std::size_t done = 0;
+    std::size_t failed = 0;
+    while (done < count_)
+    {
+        const int sent = ::sendmmsg(fd, &messages_[done], static_cast<unsigned>(count_ - done), 0);
+        if (sent > 0)
+        {
+            done += static_cast<std::size_t>(sent);
+            continue;
+        }
+        ++done; // The first one failed; the rest still get their turn.
+        ++failed;
+    }
+    count_ = 0;
+    return failed;
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/udp_socket.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "carawayshelf_core/endpoint.hpp"
+#include "carawayshelf_core/error.hpp"
+#include "carawayshelf_io/unique_fd.hpp"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace carawayshelf
+{
+
+sockaddr_in to_socket_address(const endpoint& value);
+endpoint from_socket_address(const sockaddr_in& value);
+
+/** Opens a non-blocking UDP socket at an address. Sockets of several threads may share an
+    address if each asks for it.
+    Errors: invalid_settings, when the address can't be bound. */
+failure open_udp_socket(const endpoint& address, unique_fd& opened, bool shared = false);
+
+/** Opens a non-blocking UDP socket with a free local port, connected to a peer. Returns a closed
+    one on failure, with errno set. */
+unique_fd connect_udp_socket(const endpoint& peer);
+
+/** Datagrams that one system call moves at most. */
+constexpr std::size_t batch_size = 32;
+
+/** Longest datagram that is taken; longer ones are cut and reported as such. */
+constexpr std::size_t max_datagram_bytes = 2048;
+
+/** Buffers for one recvmmsg call, made once. Not thread-safe. */
+class receive_batch
+{
+public:
+    receive_batch();
+
+    /** Receives up to batch_size datagrams without waiting; returns how many. */
+    std::size_t receive(int fd);
+
+    std::string_view datagram(std::size_t index) const
+    {
+        return {buffers_[index].data(), messages_[index].msg_len};
+    }
+
+    endpoint sender(std::size_t index) const
+    {
+        return from_socket_address(senders_[index]);
+    }
+
+    /** Whether the datagram was longer than max_datagram_bytes. */
+    bool is_cut(std::size_t index) const
+    {
+        return (messages_[index].msg_hdr.msg_flags & MSG_TRUNC) != 0;
+    }
+
+private:
+    std::vector<std::array<char, max_datagram_bytes>> buffers_;
+    std::array<sockaddr_in, batch_size> senders_{};
+    std::array<iovec, batch_size> parts_{};
+    std::array<mmsghdr, batch_size> messages_{};
+};
+
+/** Collects datagrams for one sendmmsg call; each has a header of its own and a body that the
+   caller keeps until flush(). Takes no memory after its construction. Not thread-safe. */
+class send_batch
+{
+public:
+    static constexpr std::size_t max_header_bytes = 256;
+
+    send_batch();
+
+    /** Room for the next datagram's header, max_header_bytes long. Precondition: not full. */
+    std::uint8_t* header_room()
+    {
+        return headers_[count_].data();
+    }
+
+    /** Adds a datagram made of the header just written and a body. Precondition: not full. */
+    void add(const endpoint& to, std::size_t header_size, std::string_view body);
+
+    bool is_full() const
+    {
+        return count_ == batch_size;
+    }
+
+    bool is_empty() const
+    {
+        return count_ == 0;
+    }
+
+    std::size_t size() const
+    {
+        return count_;
+    }
+
+    /** Sends what was added. Returns how many could not be sent. */
+    std::size_t flush(int fd);
+
+private:
+    std::vector<std::array<std::uint8_t, max_header_bytes>> headers_;
+    std::array<sockaddr_in, batch_size> receivers_{};
+    std::array<std::array<iovec, 2>, batch_size> parts_{};
+    std::array<mmsghdr, batch_size> messages_{};
+    std::size_t count_ = 0;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_steering/carawayshelf_steering.hpp
@@ -0,0 +1,16 @@
+/** @file
+    Module carawayshelf_steering: which agent serves a flow, while the owners change.
+
+    Purpose: flow hashing, bucket rows, the minimal-move assignment, the balancer's compact routing
+    table, and the rules by which agents pass unknown flows among themselves.
+    Dependencies: carawayshelf_core, XXH3. Does no input or output.
+
+    The rules are described in docs/DESIGN.md, section "Steering".
+*/
+#pragma once
+
+#include "carawayshelf_steering/bucket_assigner.hpp"
+#include "carawayshelf_steering/bucket_row.hpp"
+#include "carawayshelf_steering/flow_key.hpp"
+#include "carawayshelf_steering/routing_table.hpp"
+#include "carawayshelf_steering/steering_rules.hpp"
--- /dev/null
+++ b/modules/carawayshelf_steering/routing_table.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "carawayshelf_core/endpoint.hpp"
+#include "carawayshelf_steering/bucket_row.hpp"
+#include "carawayshelf_steering/flow_key.hpp"
+
+#include <cstdint>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace carawayshelf
+{
+
+/** A member and where it receives envelopes. */
+struct member_address
+{
+    member_id member = 0;
+    endpoint data;
+};
+
+/** Everything a balancer must know to relay, in a few bytes a bucket. Immutable once built, so
+    traffic threads read it without locks.
+
+    Memory: eight bytes a bucket, so 2,300 services take under 5 MB.
+*/
+class routing_table
+{
+public:
+    /** What a balancer writes into an envelope for one flow. */
+    struct route
+    {
+        generation row_generation = 0;
+        member_address owner; ///< The member is zero when the bucket has no owner.
+        const member_address* earlier = nullptr;
+        std::size_t earlier_count = 0;
+    };
+
+    /** Adds members and services, then gives the table out as immutable. Not thread-safe. */
+    class builder
+    {
+    public:
+        explicit builder(generation held);
+
+        /** Precondition: called for every member that the rows name, before the rows. */
+        void add_member(const member_address& member);
+
+        /** Precondition: buckets_per_service rows. Owners that were not added count as none. */
+        void add_service(service_id id, const endpoint& address,
+                         const std::vector<bucket_row>& rows);
+
+        routing_table build();
+
+    private:
+        friend class routing_table;
+        generation held_;
+        std::unordered_map<member_id, std::uint16_t> index_of_;
+        std::vector<member_address> members_;
+        std::vector<std::pair<service_id, endpoint>> services_;
+        std::vector<std::vector<bucket_row>> rows_;
+    };
+
+    routing_table();
+
+    /** Finds the route of a flow. Returns false when the service is unknown. Thread-safe; takes no
+        memory. */
+    bool find(const flow_key& key, route& found) const;
+
+    /** Generation that this table holds. Thread-safe. */
+    generation held() const
+    {
+        return held_;
+    }
+
+    /** Services and their addresses. Thread-safe. */
+    const std::vector<std::pair<service_id, endpoint>>& services() const
+    {
+        return services_;
+    }
+
+    /** Bytes that the table takes. Thread-safe. */
+    std::size_t memory_bytes() const;
+
+private:
+    struct compact_row
+    {
+        std::uint32_t generation_offset;
+        std::uint16_t owner;
+        std::uint16_t earlier;
+    };
+
+    struct earlier_list
+    {
+        member_address members[max_earlier_owners];
+        std::size_t count;
+    };
+
+    static_assert(sizeof(compact_row) == 8, "the size of the table rests on this");
+
+    std::uint16_t add_earlier_list(const builder& source, const bucket_row& row);
+
+    generation held_ = 0;
+    generation base_ = 0;
+    std::vector<std::pair<service_id, endpoint>> services_;
+    std::unordered_map<service_id, std::uint32_t> index_of_;
+    std::vector<member_address> members_;
+    std::vector<compact_row> rows_;
+    std::vector<earlier_list> earlier_lists_;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Builds one preset: release (the default), address or thread.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+preset="${1:-release}"
+cmake --preset "$preset" >"/tmp/carawayshelf-configure.$$" 2>&1 || {
+    cat "/tmp/carawayshelf-configure.$$"
+    exit 1
+}
+rm -f "/tmp/carawayshelf-configure.$$"
+cmake --build "build/$preset"
--- /dev/null
+++ b/scripts/install.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Installs what the build and the tests need, from Debian's packages; does nothing where all is there.
+set -euo pipefail
+packages=(
+    g++ cmake ninja-build ccache clang-format clang-tidy
+    libtbb-dev libflatbuffers-dev prometheus-cpp-dev libgflags-dev liblog4cxx-dev
+    libboost-dev libboost-test-dev libcoap3-dev libxxhash-dev librapidcheck-dev libbenchmark-dev
+)
+missing=()
+for package in "${packages[@]}"; do
+    if ! dpkg-query -W -f '${Status}' "$package" 2>/dev/null | grep -q 'install ok installed'; then
+        missing+=("$package")
+    fi
+done
+if [ "${#missing[@]}" -gt 0 ]; then
+    echo "installing: ${missing[*]}"
+    apt-get update -qq
+    DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${missing[@]}" >/dev/null
+fi
