--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Runs clang-tidy over all sources; prints what it finds. Needs a configured release build.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+[ -f build/release/compile_commands.json ] || cmake --preset release >/dev/null || exit 1
+mapfile -t sources < <(git ls-files 'modules/*.cpp' 'programs/*.cpp' 'tests/*.cpp' 'benchmarks/*.cpp')
+found="$(printf '%s\n' "${sources[@]}" |
+    xargs -P "$(nproc)" -n 4 clang-tidy -p build/release --quiet 2>/dev/null |
+    grep -E '(warning|error):' | sort -u)"
+if [ -n "$found" ]; then
+    echo "$found"
+    exit 1
+fi
+echo "clang-tidy: clean"
--- /dev/null
+++ b/tests/unit/agent_core_test.cpp
@@ -0,0 +1,297 @@
+/** @file
+    What one agent does for its server, request by request.
+*/
+#include "carawayshelf_admission/agent_core.hpp"
+#include "carawayshelf_catalogue/cluster_state.hpp"
+#include "recording_port.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+const endpoint balancer{0x7F000201, 7101};
+const std::string name = "ordering";
+
+/** An agent with a warm server, and one caller. */
+struct fixture
+{
+    fixture()
+    {
+        put_service put;
+        put.entry.name = name;
+        put.entry.owner = "hielo";
+        put.entry.address = {0x7F000901, 5683};
+        put.entry.limits.ramp_ms = 0;
+        put.entry.limits.server_queue = 2;
+        put.entry.traffic_class = service_class::critical;
+        state.apply(1, put);
+        announce_member announce{"agent-1", "cuyo-a", name, {0x7F000401, 7201}, 1};
+        self = state.apply(2, announce).member;
+        agent.server_started(now);
+        sync();
+        flow.service = state.find_service(name)->id;
+        flow.caller = {0x7F000301, 40000};
+    }
+
+    void sync()
+    {
+        subscriber_table table;
+        table.apply(state.collect_update(0, name));
+        agent.take_table(now, table, name, self);
+    }
+
+    /** A caller's datagram as a balancer relays it. */
+    void receive(const coap_message& sent)
+    {
+        const bucket_row& row = state.find_service(name)->rows[bucket_of(flow)];
+        envelope header;
+        header.flow = flow;
+        header.reply_to = balancer;
+        header.row_generation = row.changed_at;
+        header.owner.member = row.owner;
+        agent.receive_envelope(now, header, encode_coap(sent));
+    }
+
+    void answer_from_server(const coap_message& answer)
+    {
+        agent.receive_from_server(now, flow, encode_coap(answer));
+    }
+
+    coap_message request(std::uint8_t code, std::uint16_t id) const
+    {
+        coap_message made;
+        made.code = code;
+        made.message_id = id;
+        made.token = "t" + std::to_string(id);
+        return made;
+    }
+
+    coap_message answer_to(const coap_message& asked) const
+    {
+        coap_message made = make_empty(coap_type::acknowledgement, asked.message_id);
+        made.code = coap_codes::content;
+        made.token = asked.token;
+        made.payload = "answer to " + asked.token;
+        return made;
+    }
+
+    /** A POST with an Echo that this agent minted. */
+    coap_message echoed_post(std::uint16_t id)
+    {
+        receive(request(coap_codes::post, id));
+        coap_message post = request(coap_codes::post, static_cast<std::uint16_t>(id + 1));
+        post.add_option(coap_options::echo, *port.last_reply().find_option(coap_options::echo));
+        return post;
+    }
+
+    time_point now{std::chrono::seconds(1000)};
+    cluster_state state;
+    member_id self = 0;
+    agent_counters counters;
+    fakes::recording_port port;
+    agent_core agent{agent_settings{}, 77, port, counters};
+    flow_key flow;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(agent, fixture)
+
+BOOST_AUTO_TEST_CASE(a_get_reaches_the_server_and_its_answer_the_caller)
+{
+    const coap_message get = request(coap_codes::get, 1);
+    receive(get);
+    BOOST_REQUIRE(port.to_server.size() == 1U);
+    answer_from_server(answer_to(get));
+    BOOST_TEST(port.last_reply().payload == "answer to t1");
+    BOOST_TEST(to_string(port.envelopes.back().to) == to_string(balancer));
+    BOOST_TEST(counters.served == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_duplicate_gets_the_same_answer_and_no_second_run)
+{
+    const coap_message get = request(coap_codes::get, 1);
+    receive(get);
+    receive(get);
+    answer_from_server(answer_to(get));
+    receive(get);
+    BOOST_TEST(port.to_server.size() == 1U);
+    BOOST_TEST(port.last_reply().payload == "answer to t1");
+    BOOST_TEST(counters.drops.get(agent_drop::duplicate_in_flight) == 1U);
+    BOOST_TEST(counters.retries.get(agent_retry::answered_from_memory) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_post_runs_only_with_an_echo_of_this_epoch)
+{
+    const coap_message post = echoed_post(1);
+    BOOST_TEST(int{port.last_reply().code} == int{coap_codes::unauthorized});
+    BOOST_TEST(port.to_server.empty());
+    receive(post);
+    BOOST_TEST(port.to_server.size() == 1U);
+
+    coap_message foreign = request(coap_codes::post, 9);
+    foreign.add_option(coap_options::echo, echo_minter(78).mint(now, flow));
+    receive(foreign);
+    BOOST_TEST(port.to_server.size() == 1U);
+    BOOST_TEST(int{port.last_reply().code} == int{coap_codes::gateway_timeout});
+}
+
+BOOST_AUTO_TEST_CASE(an_old_echo_is_not_answered_as_not_run)
+{
+    const coap_message post = echoed_post(1);
+    now += echo_minter::lifetime;
+    agent.tick(now);
+    sync();
+    receive(post);
+    BOOST_TEST(port.to_server.empty());
+    BOOST_TEST(int{port.last_reply().code} == int{coap_codes::gateway_timeout});
+}
+
+BOOST_AUTO_TEST_CASE(more_than_slots_and_queue_is_refused_as_not_run)
+{
+    for (std::uint16_t id = 1; id <= 5; ++id)
+    {
+        receive(request(coap_codes::get, id));
+    }
+    BOOST_TEST(port.to_server.size() == 2U);
+    BOOST_TEST(port.last_reply().payload == "not run: queue_full");
+    BOOST_TEST(port.last_reply().find_uint(coap_options::max_age).value_or(0) == 1U);
+    BOOST_TEST(counters.refusals.get(refusal_reason::queue_full) == 1U);
+    answer_from_server(answer_to(request(coap_codes::get, 1)));
+    BOOST_TEST(port.to_server.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_whose_deadline_passed_in_the_queue_is_refused)
+{
+    receive(request(coap_codes::get, 1));
+    receive(request(coap_codes::get, 2));
+    coap_message hurried = request(coap_codes::get, 3);
+    hurried.add_uint(coap_options::deadline, 100);
+    receive(hurried);
+    now += std::chrono::milliseconds(101);
+    agent.tick(now);
+    BOOST_TEST(port.last_reply().payload == "not run: deadline_passed");
+    answer_from_server(answer_to(request(coap_codes::get, 1)));
+    BOOST_TEST(port.to_server.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_waiting_request_tells_the_server_the_time_that_is_left)
+{
+    receive(request(coap_codes::get, 1));
+    receive(request(coap_codes::get, 2));
+    coap_message patient = request(coap_codes::get, 3);
+    patient.add_uint(coap_options::deadline, 1000);
+    receive(patient);
+    now += std::chrono::milliseconds(400);
+    answer_from_server(answer_to(request(coap_codes::get, 1)));
+    const coap_message run = *parse_coap(port.to_server.back().second);
+    BOOST_TEST(run.find_uint(coap_options::deadline).value_or(0) == 600U);
+}
+
+BOOST_AUTO_TEST_CASE(a_datagram_of_another_service_is_dropped)
+{
+    envelope header;
+    header.flow = {flow.service + 1, flow.caller};
+    agent.receive_envelope(now, header, encode_coap(request(coap_codes::get, 1)));
+    BOOST_TEST(port.to_server.empty());
+    BOOST_TEST(counters.drops.get(agent_drop::wrong_service) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_nobody_waits_for_is_dropped)
+{
+    receive(request(coap_codes::get, 1));
+    coap_message crossed = answer_to(request(coap_codes::get, 7));
+    answer_from_server(crossed);
+    BOOST_TEST(port.envelopes.empty());
+    BOOST_TEST(counters.drops.get(agent_drop::unmatched_answer) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(observers_are_told_at_once_when_their_server_restarts)
+{
+    coap_message observe = request(coap_codes::get, 1);
+    observe.add_uint(coap_options::observe, 0);
+    receive(observe);
+    coap_message first = answer_to(observe);
+    first.add_uint(coap_options::observe, 1);
+    answer_from_server(first);
+    BOOST_TEST(!agent.is_quiet());
+    agent.server_started(now);
+    BOOST_TEST(int{port.last_reply().code} == int{coap_codes::unavailable});
+    BOOST_TEST(port.last_reply().token == observe.token);
+    BOOST_TEST(agent.is_quiet());
+}
+
+BOOST_AUTO_TEST_CASE(a_request_under_way_at_a_server_that_dies_has_an_unknown_outcome)
+{
+    receive(echoed_post(1));
+    agent.server_down(now);
+    BOOST_TEST(int{port.last_reply().code} == int{coap_codes::gateway_timeout});
+    receive(request(coap_codes::get, 5));
+    BOOST_TEST(port.last_reply().payload == "not run: server_down");
+}
+
+BOOST_AUTO_TEST_CASE(a_message_of_a_lost_flow_gets_a_reset)
+{
+    receive(make_empty(coap_type::confirmable, 5));
+    BOOST_TEST(static_cast<int>(port.last_reply().type) == static_cast<int>(coap_type::reset));
+    BOOST_TEST(port.last_reply().message_id == 5);
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_agent_serves_its_flows_and_takes_no_new_ones)
+{
+    const coap_message get = request(coap_codes::get, 1);
+    receive(get);
+    answer_from_server(answer_to(get));
+    agent.set_draining(true);
+    receive(request(coap_codes::get, 2));
+    BOOST_TEST(port.to_server.size() == 2U);
+    ++flow.caller.port;
+    receive(request(coap_codes::get, 3));
+    BOOST_TEST(port.to_server.size() == 2U);
+    BOOST_TEST(port.last_reply().payload == "not run: draining");
+}
+
+BOOST_AUTO_TEST_CASE(an_agent_that_was_frozen_serves_nothing_until_control_confirms_it)
+{
+    agent.tick(now);
+    now += std::chrono::seconds(4);
+    receive(request(coap_codes::get, 1));
+    BOOST_TEST(port.to_server.empty());
+    BOOST_TEST(counters.drops.get(agent_drop::unconfirmed) == 1U);
+    sync();
+    receive(request(coap_codes::get, 1));
+    BOOST_TEST(port.to_server.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_failure_domain_that_is_out_gets_no_request)
+{
+    receive(request(coap_codes::get, 1));
+    mark_domain mark;
+    mark.domain = "cuyo-a";
+    mark.out = true;
+    mark.expected_version = state.data().domains.at("cuyo-a").changed_at;
+    state.apply(3, mark);
+    sync();
+    receive(request(coap_codes::get, 2));
+    BOOST_TEST(port.to_server.size() == 1U);
+    answer_from_server(answer_to(request(coap_codes::get, 1)));
+    BOOST_TEST(port.last_reply().payload == "answer to t1");
+}
+
+BOOST_AUTO_TEST_CASE(every_datagram_is_counted_once_as_something)
+{
+    receive(request(coap_codes::get, 1));
+    receive(request(coap_codes::post, 2));
+    receive(make_empty(coap_type::confirmable, 5));
+    agent.receive_envelope(now, envelope{}, "garbage");
+    BOOST_TEST(counters.received ==
+               counters.relayed + counters.answered + counters.passed + counters.dropped);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace carawayshelf
--- /dev/null
+++ b/tests/unit/settings_test.cpp
@@ -0,0 +1,86 @@
+/** @file
+    Settings: samples load, and every fault is named with its remedy.
+*/
+#include "carawayshelf_core/endpoint.hpp"
+#include "carawayshelf_io/settings.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+const std::string samples = CARAWAYSHELF_SOURCE "/config/";
+
+template <typename Settings>
+failure load_text(const std::string& text, Settings& loaded)
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "carawayshelf-XXXXXX");
+    const std::string folder = ::mkdtemp(pattern.data());
+    std::ofstream(folder + "/file.ini") << text;
+    const failure failed = load_settings(folder + "/file.ini", loaded);
+    std::filesystem::remove_all(folder);
+    return failed;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(settings)
+
+BOOST_AUTO_TEST_CASE(samples_load)
+{
+    balancer_settings balancer;
+    agent_daemon_settings agent;
+    control_settings control;
+    BOOST_TEST(load_settings(samples + "balancer.ini", balancer).message() == "Success");
+    BOOST_TEST(load_settings(samples + "agent.ini", agent).message() == "Success");
+    BOOST_TEST(load_settings(samples + "control.ini", control).message() == "Success");
+    BOOST_TEST(control.peers.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(every_fault_is_named_at_once)
+{
+    control_settings control;
+    const failure failed = load_text("[control]\n"
+                                     "slot = 7\n"
+                                     "instances = 127.0.1.1:7001, nonsense\n"
+                                     "lease_ms = 5\n"
+                                     "colour = red\n",
+                                     control);
+    BOOST_TEST((failed.code == make_error_code(error_kind::invalid_settings)));
+    for (const char* part :
+         {"[control] slot is '7'", "[control] instances is 'nonsense'", "lease_ms is '5'",
+          "choose from 500 to 60000", "colour is 'red': unknown key", "data_folder is missing"})
+    {
+        BOOST_CHECK_MESSAGE(failed.detail.find(part) != std::string::npos,
+                            part << " in " << failed.detail);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_missing_file_is_one_clear_fault)
+{
+    balancer_settings balancer;
+    const failure failed = load_settings("/nowhere/balancer.ini", balancer);
+    BOOST_TEST(failed.detail.find("cannot open file") != std::string::npos);
+    BOOST_TEST(failed.detail.find("is missing") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(addresses_are_read_strictly)
+{
+    BOOST_TEST(to_string(*parse_endpoint("127.0.0.1:80")) == "127.0.0.1:80");
+    for (const char* text : {"", "127.0.0.1", "127.0.0.1:0", "127.0.0:80", "127.0.0.256:80",
+                             "127.0.0.1:65536", "127.0.0.1:80x", " 127.0.0.1:80", "a.b.c.d:1"})
+    {
+        BOOST_CHECK_MESSAGE(!parse_endpoint(text), text);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace carawayshelf
--- /dev/null
+++ b/tests/unit/wire_test.cpp
@@ -0,0 +1,185 @@
+/** @file
+    What travels between processes: round trips, and that no input does harm.
+*/
+#include "carawayshelf_io/registration_desk.hpp"
+#include "carawayshelf_wire/coap_message.hpp"
+#include "carawayshelf_wire/envelope.hpp"
+#include "carawayshelf_wire/frame_codec.hpp"
+#include "carawayshelf_wire/state_codec.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <random>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+constexpr int fuzz_rounds = 20000;
+
+std::string random_bytes(std::mt19937& random, std::size_t most)
+{
+    std::string bytes(random() % (most + 1), '\0');
+    for (char& byte : bytes)
+    {
+        byte = static_cast<char>(random());
+    }
+    return bytes;
+}
+
+/** A copy with a few bytes changed, or cut short. */
+std::string damage(std::mt19937& random, std::string bytes)
+{
+    for (std::uint32_t i = 0; i < 1 + random() % 4 && !bytes.empty(); ++i)
+    {
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    if (random() % 4 == 0)
+    {
+        bytes.resize(random() % (bytes.size() + 1));
+    }
+    return bytes;
+}
+
+envelope make_envelope()
+{
+    envelope value;
+    value.kind = envelope_kind::placed;
+    value.flow = {3, {0x7F000301, 40001}};
+    value.reply_to = {0x7F000201, 7101};
+    value.table_generation = 77;
+    value.row_generation = 76;
+    value.owner = {5, {0x7F000401, 7201}, 12};
+    value.earlier[0] = {4, {0x7F000402, 7201}, 0};
+    value.earlier_count = 1;
+    value.visits[0] = {4, 75};
+    value.visit_count = 1;
+    value.hops = 3;
+    value.sender_load = 19;
+    return value;
+}
+
+coap_message make_message()
+{
+    coap_message message;
+    message.code = coap_codes::post;
+    message.message_id = 4711;
+    message.token = "token";
+    message.add_uint(coap_options::deadline, 1500);
+    message.add_path("a/b");
+    message.add_option(coap_options::uri_query, "q=5");
+    message.add_option(coap_options::echo, std::string(16, 'e'));
+    message.payload = "payload";
+    return message;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(wire)
+
+BOOST_AUTO_TEST_CASE(an_envelope_comes_back_as_it_went)
+{
+    std::array<std::uint8_t, max_envelope_bytes> buffer{};
+    const std::size_t size = encode_envelope(make_envelope(), buffer.data());
+    envelope read;
+    std::size_t header_size = 0;
+    BOOST_REQUIRE(
+        (decode_envelope(buffer.data(), size, read, header_size) == envelope_fault::none));
+    BOOST_TEST(header_size == size);
+    std::array<std::uint8_t, max_envelope_bytes> again{};
+    BOOST_TEST(encode_envelope(read, again.data()) == size);
+    BOOST_TEST((buffer == again));
+    BOOST_TEST(read.owner.tenure_from == 12U);
+    BOOST_TEST(
+        (decode_envelope(buffer.data(), size - 1, read, header_size) == envelope_fault::too_short));
+    buffer[24] ^= 0xFFU;
+    BOOST_TEST(
+        (decode_envelope(buffer.data(), size, read, header_size) == envelope_fault::wrong_magic));
+}
+
+BOOST_AUTO_TEST_CASE(a_message_comes_back_as_it_went)
+{
+    const coap_message sent = make_message();
+    const std::optional<coap_message> read = parse_coap(encode_coap(sent));
+    BOOST_REQUIRE(read);
+    BOOST_TEST(read->token == sent.token);
+    BOOST_TEST(read->path() == "a/b");
+    BOOST_TEST(read->find_query("q").value_or("") == "5");
+    BOOST_TEST(read->find_uint(coap_options::deadline).value_or(0) == 1500U);
+    BOOST_TEST(read->payload == "payload");
+    BOOST_TEST(encode_coap(*read) == encode_coap(*parse_coap(encode_coap(*read))));
+}
+
+BOOST_AUTO_TEST_CASE(no_bytes_do_harm)
+{
+    std::mt19937 random(20261204);
+    std::array<std::uint8_t, max_envelope_bytes> buffer{};
+    const std::size_t size = encode_envelope(make_envelope(), buffer.data());
+    const std::string good_envelope(buffer.begin(), buffer.begin() + static_cast<long>(size));
+    const std::string good_message = encode_coap(make_message());
+    put_service put;
+    put.entry.name = "ordering";
+    frame sent;
+    sent.client_request = std::make_unique<buffers::request_object>();
+    sent.client_request->proposed = pack_change(put);
+    const std::string good_frame = encode_frame(sent).substr(frame_prefix_bytes);
+    const std::string good_change = encode_change(put);
+    registration_desk desk;
+    std::size_t accepted = 0;
+    for (int round = 0; round < fuzz_rounds; ++round)
+    {
+        const bool is_random = round % 2 == 0;
+        const std::string noise = random_bytes(random, 200);
+        const std::string envelope_bytes = is_random ? noise : damage(random, good_envelope);
+        envelope header;
+        std::size_t header_size = 0;
+        const envelope_fault fault =
+            decode_envelope(reinterpret_cast<const std::uint8_t*>(envelope_bytes.data()),
+                            envelope_bytes.size(), header, header_size);
+        accepted += fault == envelope_fault::none ? 1 : 0;
+        const std::optional<coap_message> message =
+            parse_coap(is_random ? noise : damage(random, good_message));
+        accepted += message && parse_coap(encode_coap(*message)) ? 1 : 0;
+        frame read;
+        accepted += decode_frame(is_random ? noise : damage(random, good_frame), read) ? 0 : 1;
+        accepted += decode_change(is_random ? noise : damage(random, good_change)) ? 1 : 0;
+        std::string answer;
+        desk.handle(is_random ? noise : damage(random, good_message), answer);
+    }
+    BOOST_TEST(accepted > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_registers_as_at_a_resource_directory)
+{
+    registration_desk desk;
+    coap_message start;
+    start.code = coap_codes::post;
+    start.message_id = 1;
+    start.add_path("rd");
+    start.add_option(coap_options::uri_query, "ep=server-1");
+    start.add_option(coap_options::uri_query, "d=ordering");
+    start.add_option(coap_options::uri_query, "base=coap://127.0.5.1:7301");
+    std::string answer;
+    BOOST_TEST((desk.handle(encode_coap(start), answer) == registration_event::started));
+    BOOST_TEST(int{parse_coap(answer)->code} == int{coap_codes::created});
+    BOOST_TEST(to_string(desk.server()) == "127.0.5.1:7301");
+    BOOST_TEST((desk.handle(encode_coap(start), answer) == registration_event::refreshed));
+    start.message_id = 2;
+    BOOST_TEST((desk.handle(encode_coap(start), answer) == registration_event::started));
+    coap_message leave;
+    leave.code = coap_codes::del;
+    leave.add_path("rd/1");
+    BOOST_TEST((desk.handle(encode_coap(leave), answer) == registration_event::leaving));
+    coap_message wrong;
+    wrong.code = coap_codes::post;
+    wrong.add_path("rd");
+    BOOST_TEST((desk.handle(encode_coap(wrong), answer) == registration_event::none));
+    BOOST_TEST(int{parse_coap(answer)->code} == int{coap_codes::bad_request});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace carawayshelf
