--- /dev/null
+++ b/benchmarks/sample_state.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "carawayshelf_catalogue/cluster_state.hpp"
+#include "carawayshelf_steering/flow_key.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace carawayshelf::benchmarks
+{
+
+/** Lets every earlier owner report its buckets empty, as they do once their flows have ended. */
+inline void settle(cluster_state& state)
+{
+    const std::map<member_id, member> members = state.data().members;
+    for (const auto& [id, who] : members)
+    {
+        release_buckets release;
+        release.member = id;
+        for (std::uint16_t bucket = 0; bucket < buckets_per_service; ++bucket)
+        {
+            release.buckets.push_back({bucket, state.data().held});
+        }
+        state.apply(state.data().held + 1, release);
+    }
+}
+
+/** Makes a state with services of a few backend servers each, spread over failure domains. */
+inline cluster_state make_state(std::size_t services, std::size_t servers_each)
+{
+    cluster_state state;
+    generation now = 0;
+    std::uint32_t number = 0;
+    for (std::size_t s = 0; s < services; ++s)
+    {
+        put_service put;
+        put.entry.name = "service-" + std::to_string(s);
+        put.entry.owner = "owner";
+        put.entry.address = {0x7F090000 + static_cast<std::uint32_t>(s), 5683};
+        state.apply(++now, put);
+        for (std::size_t i = 0; i < servers_each; ++i)
+        {
+            ++number;
+            announce_member announce;
+            announce.name = "agent-" + std::to_string(number);
+            announce.domain = "domain-" + std::to_string(number % 19);
+            announce.service = put.entry.name;
+            announce.data = {0x7F100000 + number, 7201};
+            announce.epoch = number;
+            state.apply(++now, announce);
+        }
+    }
+    return state;
+}
+
+} // namespace carawayshelf::benchmarks
--- a/modules/carawayshelf_io/balancer_worker.cpp
+++ b/modules/carawayshelf_io/balancer_worker.cpp
@@ -136,7 +136,7 @@
     header.row_generation = route.row_generation;
     header.owner = route.owner;
     header.earlier_count = static_cast<std::uint8_t>(route.earlier_count);
-    std::copy_n(route.earlier, route.earlier_count, header.earlier.begin());
+    header.earlier = route.earlier;
     to_agents_.add(route.owner.data, encode_envelope(header, to_agents_.header_room()), datagram);
 }
 
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -742,6 +742,7 @@
                    "the leader did not answer in time");
     if (core_->role() == consensus_role::leader)
     {
+        leases_.note_generation(instant, state_.data().held);
         for (const auto& [connection, who] : subscribers_)
         {
             if (instant - who.heard < lease_interval * 2)
--- a/modules/carawayshelf_io/lease_table.cpp
+++ b/modules/carawayshelf_io/lease_table.cpp
@@ -22,12 +22,32 @@
     leases_.clear();
     members_heard_.clear();
     proposed_.clear();
+    reached_.clear();
+    required_ = 0;
+}
+
+void lease_table::note_generation(time_point now, generation reached)
+{
+    if (reached_.empty() || reached_.back().second < reached)
+    {
+        reached_.emplace_back(now, reached);
+    }
+}
+
+bool lease_table::is_too_far_behind(time_point now, generation held)
+{
+    while (!reached_.empty() && now - reached_.front().first >= lease_)
+    {
+        required_ = reached_.front().second;
+        reached_.pop_front();
+    }
+    return held < required_;
 }
 
 void lease_table::hear(time_point now, const daemon_report& report)
 {
     leases_[report.name] = {report, now};
-    if (report.member != 0)
+    if (report.member != 0 && !is_too_far_behind(now, report.held))
     {
         members_heard_[report.member] = now;
     }
--- a/modules/carawayshelf_io/lease_table.hpp
+++ b/modules/carawayshelf_io/lease_table.hpp
@@ -4,6 +4,7 @@
 #include "carawayshelf_core/clock_time.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -43,6 +44,10 @@
     /** This instance has just become the leader. */
     void start(time_point now);
 
+    /** The state has reached a generation. An agent that doesn't hold it within a lease is not
+        renewed, so none goes on for long on rows that others have left. */
+    void note_generation(time_point now, generation reached);
+
     void hear(time_point now, const daemon_report& report);
 
     /** Changes that should be proposed now: members to retire, states to set, buckets to release.
@@ -62,12 +67,15 @@
         time_point heard;
     };
 
+    bool is_too_far_behind(time_point now, generation held);
     bool is_due(time_point now, const std::string& what);
     void collect_for_member(time_point now, const member& who, std::vector<change>& changes);
     void collect_releases(time_point now, const cluster_state& state, const daemon_report& report,
                           std::vector<change>& changes);
 
     duration lease_;
+    std::deque<std::pair<time_point, generation>> reached_; ///< Oldest first.
+    generation required_ = 0;                               ///< Reached a whole lease ago.
     time_point started_;
     std::map<std::string, lease_entry> leases_;
     std::map<member_id, time_point> members_heard_;
--- a/modules/carawayshelf_io/settings.cpp
+++ b/modules/carawayshelf_io/settings.cpp
@@ -134,7 +134,9 @@
         {
             for (const auto& [key, value] : keys)
             {
-                if (known_.count(section + "." + key) == 0)
+                std::string full_key = section;
+                full_key.append(".").append(key);
+                if (known_.count(full_key) == 0)
                 {
                     add_fault(section, key, value.data(), "unknown key, remove or correct it");
                 }
--- a/modules/carawayshelf_steering/bucket_assigner.cpp
+++ b/modules/carawayshelf_steering/bucket_assigner.cpp
@@ -79,10 +79,7 @@
     {
         for (bucket_row& row : rows_)
         {
-            row.earlier.erase(std::remove_if(row.earlier.begin(), row.earlier.end(),
-                                             [this](const earlier_owner& e)
-                                             { return !is_live(e.member); }),
-                              row.earlier.end());
+            row.earlier.remove_if([this](const earlier_owner& e) { return !is_live(e.member); });
             if (!is_live(row.owner))
             {
                 row.owner = is_eligible(row.second) ? row.second : 0;
@@ -168,7 +165,7 @@
         if (old != 0)
         {
             --owned_[old];
-            row.earlier.insert(row.earlier.begin(), earlier_owner{old, now_});
+            row.earlier.push_front({old, now_});
         }
         row.owner = next;
         ++owned_[next];
@@ -176,10 +173,7 @@
 
     static void remove_earlier(bucket_row& row, member_id member)
     {
-        row.earlier.erase(std::remove_if(row.earlier.begin(), row.earlier.end(),
-                                         [member](const earlier_owner& e)
-                                         { return e.member == member; }),
-                          row.earlier.end());
+        row.earlier.remove_if([member](const earlier_owner& e) { return e.member == member; });
     }
 
     /** Keeps valid second choices, and gives the least used member of another domain to the rest.
@@ -284,7 +278,7 @@
     {
         return false;
     }
-    row.earlier.erase(listed);
+    row.earlier.remove_if([member](const earlier_owner& e) { return e.member == member; });
     row.changed_at = now;
     return true;
 }
--- a/modules/carawayshelf_steering/bucket_row.hpp
+++ b/modules/carawayshelf_steering/bucket_row.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "carawayshelf_core/identifiers.hpp"
+#include "carawayshelf_steering/earlier_owners.hpp"
 
 #include <cstddef>
-#include <vector>
 
 namespace carawayshelf
 {
@@ -11,25 +11,13 @@
 /** Most earlier owners that a bucket lists. A bucket with a full list is not moved on purpose. */
 constexpr std::size_t max_earlier_owners = 4;
 
-/** A member that owned a bucket before and may still hold flows in it. */
-struct earlier_owner
-{
-    member_id member = 0;
-    generation retired_at = 0; ///< Generation that took the bucket from it.
-};
-
-inline bool operator==(const earlier_owner& a, const earlier_owner& b)
-{
-    return a.member == b.member && a.retired_at == b.retired_at;
-}
-
 /** Who serves the flows of one bucket of one service. */
 struct bucket_row
 {
     generation changed_at = 0; ///< Generation that last changed this row.
     member_id owner = 0;       ///< Admits new flows; zero when no member can.
     member_id second = 0;      ///< Second choice for new flows, and successor if the owner crashes.
-    std::vector<earlier_owner> earlier; ///< Latest first; they keep their flows to the end.
+    earlier_owners earlier;    ///< Latest first; they keep their flows to the end.
 
     /** Whether the member is listed among the earlier owners. */
     bool has_earlier(member_id member) const
--- a/modules/carawayshelf_steering/carawayshelf_steering.hpp
+++ b/modules/carawayshelf_steering/carawayshelf_steering.hpp
@@ -11,6 +11,7 @@
 
 #include "carawayshelf_steering/bucket_assigner.hpp"
 #include "carawayshelf_steering/bucket_row.hpp"
+#include "carawayshelf_steering/earlier_owners.hpp"
 #include "carawayshelf_steering/flow_key.hpp"
 #include "carawayshelf_steering/routing_table.hpp"
 #include "carawayshelf_steering/steering_rules.hpp"
--- a/modules/carawayshelf_steering/routing_table.cpp
+++ b/modules/carawayshelf_steering/routing_table.cpp
@@ -51,6 +51,7 @@
     constexpr generation span = std::numeric_limits<std::uint32_t>::max();
     table.base_ = held_ > span ? held_ - span : 0;
     table.rows_.reserve(rows_.size() * buckets_per_service);
+    std::map<earlier_list, std::uint16_t> known_lists;
     for (std::size_t s = 0; s < rows_.size(); ++s)
     {
         table.index_of_[services_[s].first] = static_cast<std::uint32_t>(s);
@@ -61,7 +62,7 @@
                 row.changed_at > table.base_ ? row.changed_at - table.base_ : 0);
             const auto owner = index_of_.find(row.owner);
             packed.owner = owner == index_of_.end() ? std::uint16_t{0} : owner->second;
-            packed.earlier = table.add_earlier_list(*this, row);
+            packed.earlier = table.add_earlier_list(*this, row, known_lists);
             if (packed.earlier == 0 && !row.earlier.empty())
             {
                 // Without its earlier owners the row must not outrank an agent's own.
@@ -73,23 +74,32 @@
     return table;
 }
 
-std::uint16_t routing_table::add_earlier_list(const builder& source, const bucket_row& row)
+std::uint16_t routing_table::add_earlier_list(const builder& source, const bucket_row& row,
+                                              std::map<earlier_list, std::uint16_t>& known)
 {
     earlier_list list{};
+    std::size_t count = 0;
     for (const earlier_owner& candidate : row.earlier)
     {
         const auto index = source.index_of_.find(candidate.member);
-        if (index != source.index_of_.end() && list.count < max_earlier_owners)
+        if (index != source.index_of_.end() && count < max_earlier_owners)
         {
-            list.members[list.count++] = source.members_[index->second];
+            list[count++] = index->second;
         }
     }
-    if (list.count == 0 || earlier_lists_.size() > max_index)
+    const auto existing = known.find(list);
+    if (existing != known.end())
+    {
+        return existing->second;
+    }
+    if (count == 0 || earlier_lists_.size() > max_index)
     {
         return 0;
     }
     earlier_lists_.push_back(list);
-    return static_cast<std::uint16_t>(earlier_lists_.size() - 1);
+    const std::uint16_t added = static_cast<std::uint16_t>(earlier_lists_.size() - 1);
+    known[list] = added;
+    return added;
 }
 
 bool routing_table::find(const flow_key& key, route& found) const
@@ -103,8 +113,15 @@
     const earlier_list& list = earlier_lists_[row.earlier];
     found.row_generation = base_ + row.generation_offset;
     found.owner = members_[row.owner];
-    found.earlier = list.members;
-    found.earlier_count = list.count;
+    found.earlier_count = 0;
+    for (const std::uint16_t index : list)
+    {
+        if (index == 0)
+        {
+            break;
+        }
+        found.earlier[found.earlier_count++] = members_[index];
+    }
     return true;
 }
 
--- a/modules/carawayshelf_steering/routing_table.hpp
+++ b/modules/carawayshelf_steering/routing_table.hpp
@@ -4,7 +4,9 @@
 #include "carawayshelf_steering/bucket_row.hpp"
 #include "carawayshelf_steering/flow_key.hpp"
 
+#include <array>
 #include <cstdint>
+#include <map>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -25,7 +27,8 @@
 /** Everything a balancer must know to relay, in a few bytes a bucket. Immutable once built, so
     traffic threads read it without locks.
 
-    Memory: eight bytes a bucket, so 2,300 services take under 5 MB.
+    Memory: eight bytes a bucket, and eight for each different list of earlier owners, so 2,300
+    services take about 5 MB.
 */
 class routing_table
 {
@@ -35,7 +38,7 @@
     {
         generation row_generation = 0;
         member_address owner; ///< The member is zero when the bucket has no owner.
-        const member_address* earlier = nullptr;
+        std::array<member_address, max_earlier_owners> earlier{};
         std::size_t earlier_count = 0;
     };
 
@@ -92,15 +95,13 @@
         std::uint16_t earlier;
     };
 
-    struct earlier_list
-    {
-        member_address members[max_earlier_owners];
-        std::size_t count;
-    };
+    /** Indexes of members, zero after the last. Equal lists of a table are kept once. */
+    using earlier_list = std::array<std::uint16_t, max_earlier_owners>;
 
     static_assert(sizeof(compact_row) == 8, "the size of the table rests on this");
 
-    std::uint16_t add_earlier_list(const builder& source, const bucket_row& row);
+    std::uint16_t add_earlier_list(const builder& source, const bucket_row& row,
+                                   std::map<earlier_list, std::uint16_t>& known);
 
     generation held_ = 0;
     generation base_ = 0;
--- a/tests/fakes/agent_world.cpp
+++ b/tests/fakes/agent_world.cpp
@@ -95,7 +95,7 @@
 
 change_result agent_world::apply(const change& edit)
 {
-    const change_result result = truth_.apply(++generation_, edit);
+    change_result result = truth_.apply(++generation_, edit);
     note_owners();
     return result;
 }
@@ -506,7 +506,7 @@
     header.row_generation = route.row_generation;
     header.owner = route.owner;
     header.earlier_count = static_cast<std::uint8_t>(route.earlier_count);
-    std::copy_n(route.earlier, route.earlier_count, header.earlier.begin());
+    header.earlier = route.earlier;
     send_envelope(route.owner.data, header, item.datagram);
 }
 
--- a/tests/standins/backend_server.cpp
+++ b/tests/standins/backend_server.cpp
@@ -245,7 +245,8 @@
         std::string whole;
         for (std::size_t i = 0; i < big_blocks; ++i)
         {
-            std::string part = FLAGS_service + "|big|" + q + "|" + std::to_string(i) + "|";
+            std::string part = FLAGS_service;
+            part.append("|big|").append(q).append("|").append(std::to_string(i)).append("|");
             part.resize(block_bytes, '.');
             whole += part;
         }
--- a/tests/standins/caller.cpp
+++ b/tests/standins/caller.cpp
@@ -355,6 +355,7 @@
         by_fd[flows.back()->fd()] = flows.back().get();
     }
     std::vector<int> fds;
+    fds.reserve(by_fd.size());
     for (const auto& [fd, flow] : by_fd)
     {
         fds.push_back(fd);
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -24,7 +24,7 @@
     std::string pattern = (std::filesystem::temp_directory_path() / "carawayshelf-XXXXXX");
     const std::string folder = ::mkdtemp(pattern.data());
     std::ofstream(folder + "/file.ini") << text;
-    const failure failed = load_settings(folder + "/file.ini", loaded);
+    failure failed = load_settings(folder + "/file.ini", loaded);
     std::filesystem::remove_all(folder);
     return failed;
 }
--- a/tests/unit/storage_test.cpp
+++ b/tests/unit/storage_test.cpp
@@ -212,6 +212,30 @@
     BOOST_TEST(leases.collect_changes(start + std::chrono::seconds(8), state).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_agent_that_does_not_take_changes_in_is_not_renewed)
+{
+    const time_point start{std::chrono::seconds(1000)};
+    cluster_state state;
+    const member_id member =
+        state.apply(2, announce_member{"agent-1", "cuyo-a", "ordering", {2, 2}, 1}).member;
+    lease_table leases(std::chrono::seconds(3));
+    leases.start(start);
+    leases.note_generation(start, 9);
+    daemon_report report;
+    report.name = "agent-1";
+    report.member = member;
+    report.held = 8;
+    for (int second = 1; second <= 2; ++second)
+    {
+        leases.hear(start + std::chrono::seconds(second), report);
+    }
+    leases.hear(start + std::chrono::seconds(4), report);
+    BOOST_TEST(leases.collect_changes(start + std::chrono::seconds(5), state).size() == 1U);
+    report.held = 9;
+    leases.hear(start + std::chrono::seconds(6), report);
+    BOOST_TEST(leases.collect_changes(start + std::chrono::seconds(8), state).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace carawayshelf
