Planned restart of an agent: sealed state, parked and claimed once

Cause: an agent that was stopped ended its feeds, since the next incarnation was a new member with a new epoch. Now it stops to let requests in, finishes what runs, and parks flows, local ports, remembered answers and the Echo secret with a control instance, in memory; its successor claims them once, binds the same ports and serves after control has confirmed the member. Where the state is lost or the restart takes longer than the lease, a new epoch starts, which is always safe.

Weighed: parking at a neighbour agent (the starting design): the successor would have to learn which one while it knows nothing but its settings; a control instance is named there, has the memory (about 1 MB an agent, 64 MB in all at most) and is asked by the successor anyway.

--- a/benchmarks/capacity.cpp
+++ b/benchmarks/capacity.cpp
@@ -10,8 +10,8 @@
 #include "carawayshelf_io/file_log_store.hpp"
 #include "carawayshelf_wire/state_codec.hpp"
 
-#include <malloc.h>
 #include <ctime>
+#include <malloc.h>
 
 #include <cstdio>
 #include <cstdlib>
@@ -138,8 +138,9 @@
 /** State at three sizes. */
 void measure_state(slopes& found)
 {
-    std::printf("| services | servers | rows | control state | snapshot | balancer's copy | compact "
-                "table | table build |\n|---|---|---|---|---|---|---|---|\n");
+    std::printf(
+        "| services | servers | rows | control state | snapshot | balancer's copy | compact "
+        "table | table build |\n|---|---|---|---|---|---|---|---|\n");
     for (const std::size_t services : {100U, 400U, 1200U})
     {
         measure_state_at(services, false, found);
@@ -253,8 +254,9 @@
             sent.lease = pack_report(make_report(7));
             static_cast<void>(encode_frame(sent));
         });
-    std::printf("| daemons in a digest | bytes each | write and read, us each | look for lost members, "
-                "us each |\n|---|---|---|---|\n");
+    std::printf(
+        "| daemons in a digest | bytes each | write and read, us each | look for lost members, "
+        "us each |\n|---|---|---|---|\n");
     for (const std::size_t daemons : {100U, 400U, 1600U})
     {
         const cluster_state state = make_state(daemons / 4, 4);
@@ -315,8 +317,7 @@
         }
         store.append(records);
         store.sync();
-        elapsed =
-            std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+        elapsed = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
     }
     std::filesystem::remove_all(folder);
     return static_cast<double>(index) / elapsed;
@@ -358,10 +359,10 @@
                        changes_per_s * found.encode_update_s));
     std::printf("| control, leader | the same | digests in %.0f KB/s | %.1f %% of a core |\n",
                 digests_per_s * daemons * found.digest_bytes_per_daemon / 1024, 100 * leader_cpu);
-    std::printf("\nchanges at the target: %.3f a second, of %.0f bytes to each balancer, %.0f us to "
-                "apply, %.0f us to write an update\n",
-                changes_per_s, found.update_bytes, found.apply_s * 1e6,
-                found.encode_update_s * 1e6);
+    std::printf(
+        "\nchanges at the target: %.3f a second, of %.0f bytes to each balancer, %.0f us to "
+        "apply, %.0f us to write an update\n",
+        changes_per_s, found.update_bytes, found.apply_s * 1e6, found.encode_update_s * 1e6);
     std::printf("edits a second on this disk: %.0f with a sync each, %.0f with 64 in a sync\n",
                 found.edits_per_s_each, found.edits_per_s_group);
 }
--- a/benchmarks/relay_benchmark.cpp
+++ b/benchmarks/relay_benchmark.cpp
@@ -1,15 +1,15 @@
 /** @file
     Relay of one balancer worker against a bare batched echo of datagrams, in one run.
 
-    A sender keeps a window of datagrams under way. Bare: sender - echo thread. Relay: sender - balancer
-    worker - agent stand-in that answers at once - balancer worker. Prints datagrams a second through
-    the one thread in the middle, which in the relay case handles two for each answer.
+    A sender keeps a window of datagrams under way. Bare: sender - echo thread. Relay: sender -
+   balancer worker - agent stand-in that answers at once - balancer worker. Prints datagrams a
+   second through the one thread in the middle, which in the relay case handles two for each answer.
 */
 #include "carawayshelf_io/balancer_worker.hpp"
 #include "carawayshelf_io/udp_socket.hpp"
 
-#include <poll.h>
 #include <ctime>
+#include <poll.h>
 
 #include <atomic>
 #include <chrono>
--- a/modules/carawayshelf_admission/agent_core.hpp
+++ b/modules/carawayshelf_admission/agent_core.hpp
@@ -3,6 +3,7 @@
 #include "carawayshelf_admission/admission_gate.hpp"
 #include "carawayshelf_admission/agent_counters.hpp"
 #include "carawayshelf_admission/agent_port.hpp"
+#include "carawayshelf_admission/agent_seal.hpp"
 #include "carawayshelf_admission/echo_minter.hpp"
 #include "carawayshelf_admission/exchange_memory.hpp"
 #include "carawayshelf_admission/flow_table.hpp"
@@ -48,6 +49,25 @@
     agent_core(const agent_settings& settings, std::uint64_t epoch_secret, agent_port& port,
                agent_counters& counters);
 
+    /** Goes on where a sealed incarnation stopped: the same member, epoch and flows. It serves
+        nothing until a table from control has come. Precondition: called once, right after the
+        construction. */
+    void restore(time_point now, const agent_seal& seal);
+
+    /** Stops for good: requests that wait are refused as not run, and none is let in any more.
+       Those that run go on; seal() when nothing runs. */
+    void begin_seal(time_point now);
+
+    /** Whether nothing runs at the server any more. */
+    bool can_seal() const
+    {
+        return running_.empty();
+    }
+
+    /** State for the next incarnation, but for what only sockets know. Precondition: begin_seal()
+        was called and can_seal(). */
+    agent_seal seal(time_point now) const;
+
     /** Takes the agent's slice in. The member is its own number, zero before control gave one. */
     void take_table(time_point now, const subscriber_table& table, const std::string& service,
                     member_id self);
@@ -181,6 +201,8 @@
     bool draining_ = false;
     bool server_up_ = false;
     bool is_unconfirmed_ = false;
+    bool is_sealing_ = false;
+    std::uint64_t echo_secret_;
     std::vector<bucket_row> rows_;
     std::unordered_map<member_id, member_address> addresses_;
     std::unordered_map<member_id, member_state> states_;
--- a/modules/carawayshelf_admission/echo_minter.cpp
+++ b/modules/carawayshelf_admission/echo_minter.cpp
@@ -19,7 +19,8 @@
 
 } // namespace
 
-echo_minter::echo_minter(std::uint64_t secret) : secret_(secret)
+echo_minter::echo_minter(std::uint64_t secret, duration clock_offset)
+    : secret_(secret), clock_offset_(clock_offset)
 {
 }
 
@@ -31,7 +32,7 @@
 
 std::string echo_minter::mint(time_point now, const flow_key& flow) const
 {
-    const std::uint64_t minted_us = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    const std::uint64_t minted_us = static_cast<std::uint64_t>(clock_of(now).count());
     const echo_value value{minted_us, sign(minted_us, flow)};
     std::string bytes(sizeof(value), '\0');
     std::memcpy(bytes.data(), &value, sizeof(value));
@@ -51,7 +52,8 @@
         return echo_verdict::foreign;
     }
     const time_point minted{duration(static_cast<duration::rep>(value.minted_us))};
-    return now - minted < lifetime ? echo_verdict::valid : echo_verdict::expired;
+    return clock_of(now) - minted.time_since_epoch() < lifetime ? echo_verdict::valid
+                                                                : echo_verdict::expired;
 }
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_admission/echo_minter.hpp
+++ b/modules/carawayshelf_admission/echo_minter.hpp
@@ -28,8 +28,16 @@
         an answered request is always recognised. */
     static constexpr duration lifetime = std::chrono::seconds(120);
 
-    /** @param secret  random, and different for each epoch */
-    explicit echo_minter(std::uint64_t secret);
+    /** @param secret        random, and different for each epoch
+        @param clock_offset  what to add to an instant to get one of the clock that the epoch's
+       first incarnation minted by */
+    explicit echo_minter(std::uint64_t secret, duration clock_offset = duration{0});
+
+    /** An instant on the clock that values are minted by. */
+    duration clock_of(time_point now) const
+    {
+        return now.time_since_epoch() + clock_offset_;
+    }
 
     std::string mint(time_point now, const flow_key& flow) const;
 
@@ -39,6 +47,7 @@
     std::uint64_t sign(std::uint64_t minted_us, const flow_key& flow) const;
 
     std::uint64_t secret_;
+    duration clock_offset_;
 };
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_admission/exchange_memory.hpp
+++ b/modules/carawayshelf_admission/exchange_memory.hpp
@@ -67,6 +67,12 @@
     /** Adds an exchange. Precondition: the key isn't known. */
     exchange& add(time_point now, const exchange_key& key);
 
+    /** The exchanges, for sealing. */
+    const std::unordered_map<exchange_key, exchange, exchange_key_hash>& all() const
+    {
+        return exchanges_;
+    }
+
     /** Forgets what is older than the lifetime, but for exchanges that are not answered yet. */
     void expire(time_point now);
 
--- a/modules/carawayshelf_admission/start_ramp.hpp
+++ b/modules/carawayshelf_admission/start_ramp.hpp
@@ -36,6 +36,12 @@
 
     bool is_cold(time_point now) const;
 
+    /** Time since the server's start. */
+    duration age(time_point now) const
+    {
+        return now - started_;
+    }
+
     /** Most requests that the ramp permits from its start until an instant, for checks. */
     double allowed_until(time_point now) const;
 
--- a/modules/carawayshelf_io/agent_daemon.cpp
+++ b/modules/carawayshelf_io/agent_daemon.cpp
@@ -4,6 +4,7 @@
 #include "carawayshelf_io/control_client.hpp"
 #include "carawayshelf_io/json_log.hpp"
 #include "carawayshelf_io/metrics_page.hpp"
+#include "carawayshelf_io/operator_client.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -17,8 +18,8 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds stop_check_interval(100);
-constexpr std::chrono::seconds longest_drain(30);
+constexpr std::chrono::seconds longest_stop(10);
+constexpr std::chrono::milliseconds claim_timeout(500);
 constexpr std::chrono::milliseconds announce_again(500);
 constexpr std::chrono::milliseconds freeze_check_interval(200);
 
@@ -49,6 +50,7 @@
 
     failure start()
     {
+        claim_parked_state();
         if (failure failed = traffic_.start())
         {
             return failed;
@@ -60,19 +62,45 @@
         return {};
     }
 
-    /** Takes no new flows any more, and ends once nothing runs, or at the latest after a while. */
+    /** Takes over what an earlier incarnation parked, if there is anything. */
+    void claim_parked_state()
+    {
+        operator_client client(settings_.control, claim_timeout);
+        const std::string content = client.claim(settings_.name);
+        const std::optional<agent_seal> seal =
+            content.empty() ? std::optional<agent_seal>() : decode_seal(content);
+        if (!seal)
+        {
+            return;
+        }
+        log_info("goes on as member " + std::to_string(seal->member) + " with " +
+                 std::to_string(seal->flows.size()) + " flows");
+        self_ = seal->member;
+        epoch_ = seal->epoch;
+        service_ = seal->service;
+        client_.set_service(service_);
+        traffic_.restore(*seal);
+    }
+
+    /** Finishes what runs, then parks the state for the next incarnation of this agent. A second
+        signal ends at once. */
     void begin_stop()
     {
-        if (is_stopping_)
+        if (is_stopping_ || self_ == 0)
         {
             io_.stop();
             return;
         }
-        log_info("stops: takes no new flows, finishes what runs");
+        log_info("stops: finishes what runs, then parks its state");
         is_stopping_ = true;
-        stop_by_ = std::chrono::steady_clock::now() + longest_drain;
-        traffic_.set_draining(true);
-        check_stop();
+        traffic_.seal_when_quiet(
+            [this](const agent_seal& seal)
+            {
+                agent_seal whole = seal;
+                boost::asio::post(io_, [this, whole] { park(whole); });
+            });
+        stop_timer_.expires_after(longest_stop);
+        stop_timer_.async_wait([this](const boost::system::error_code& /*error*/) { io_.stop(); });
     }
 
     /** Asks control for a whole table after the process was frozen. */
@@ -125,7 +153,7 @@
         value.domain = settings_.domain;
         value.member = self_;
         value.held = traffic_.held();
-        value.state = is_stopping_ ? member_state::draining : snapshot.state;
+        value.state = snapshot.state;
         value.released = snapshot.released;
         return value;
     }
@@ -215,39 +243,15 @@
             });
     }
 
-    void check_stop()
+    void park(agent_seal seal)
     {
-        const bool is_late = std::chrono::steady_clock::now() >= stop_by_;
-        const agent_snapshot snapshot = traffic_.snapshot();
-        if ((snapshot.is_quiet && is_drain_reported_) || is_late)
-        {
-            leave();
-            return;
-        }
-        is_drain_reported_ = true;
-        client_.send_report();
-        stop_timer_.expires_after(stop_check_interval);
-        stop_timer_.async_wait(
-            [this](const boost::system::error_code& error)
-            {
-                if (!error)
-                {
-                    check_stop();
-                }
-            });
-    }
-
-    void leave()
-    {
-        if (self_ == 0 || !client_.is_connected())
-        {
-            io_.stop();
-            return;
-        }
-        client_.propose(retire_member{self_},
-                        [this](error_kind /*error*/, const change_result&) { io_.stop(); });
-        stop_timer_.expires_after(announce_again);
-        stop_timer_.async_wait([this](const boost::system::error_code& /*error*/) { io_.stop(); });
+        seal.epoch = epoch_;
+        client_.park(settings_.name, encode_seal(seal),
+                     [this](bool is_parked)
+                     {
+                         log_info(is_parked ? "parked its state" : "could not park its state");
+                         io_.stop();
+                     });
     }
 
     boost::asio::io_context& io_;
@@ -259,8 +263,6 @@
     generation announced_at_ = 0;
     bool is_announcing_ = false;
     bool is_stopping_ = false;
-    bool is_drain_reported_ = false;
-    std::chrono::steady_clock::time_point stop_by_;
     subscriber_table table_;
     agent_traffic traffic_;
     control_client client_;
--- a/modules/carawayshelf_io/agent_traffic.cpp
+++ b/modules/carawayshelf_io/agent_traffic.cpp
@@ -78,6 +78,60 @@
     return {};
 }
 
+void agent_traffic::restore(const agent_seal& seal)
+{
+    desk_.restore(seal.service, seal.server);
+    is_server_up_ = true;
+    service_ = seal.service;
+    self_ = seal.member;
+    core_->restore(now(), seal);
+    for (const sealed_flow& value : seal.flows)
+    {
+        if (value.local_port == 0)
+        {
+            continue;
+        }
+        const flow_key key{seal.service_number, value.caller};
+        unique_fd socket = connect_udp_socket(seal.server, value.local_port);
+        if (socket.is_open())
+        {
+            flow_of_socket_[socket.get()] = key;
+            watch(epoll_.get(), socket.get());
+            flow_sockets_[key] = std::move(socket);
+        }
+    }
+}
+
+void agent_traffic::seal_when_quiet(std::function<void(const agent_seal&)> done)
+{
+    post(
+        [this, done = std::move(done)]
+        {
+            core_->begin_seal(now());
+            on_sealed_ = done;
+        });
+}
+
+void agent_traffic::seal_if_quiet()
+{
+    if (!on_sealed_ || !core_->can_seal())
+    {
+        return;
+    }
+    agent_seal sealed = core_->seal(now());
+    sealed.server = desk_.server();
+    for (sealed_flow& value : sealed.flows)
+    {
+        const auto socket = flow_sockets_.find({sealed.service_number, value.caller});
+        if (socket != flow_sockets_.end())
+        {
+            value.local_port = local_port_of(socket->second.get());
+        }
+    }
+    is_stopping_ = true;
+    std::exchange(on_sealed_, nullptr)(sealed);
+}
+
 void agent_traffic::stop()
 {
     is_stopping_ = true;
@@ -160,6 +214,7 @@
         core_->tick(instant);
         flush_envelopes();
         publish_snapshot(instant);
+        seal_if_quiet();
     }
 }
 
--- a/modules/carawayshelf_io/agent_traffic.hpp
+++ b/modules/carawayshelf_io/agent_traffic.hpp
@@ -46,6 +46,13 @@
     /** Opens the sockets and starts the thread. Errors: invalid_settings. */
     failure start();
 
+    /** Goes on where a sealed incarnation stopped. Precondition: start() was not called yet. */
+    void restore(const agent_seal& seal);
+
+    /** Stops to let requests in, and gives a seal out once nothing runs. The handler is called on
+        the traffic thread, which does nothing more for callers. */
+    void seal_when_quiet(std::function<void(const agent_seal&)> done);
+
     /** Puts a table in force; the member is this agent's own number, or zero. */
     void set_table(std::shared_ptr<const subscriber_table> table, const std::string& service,
                    member_id self);
@@ -82,6 +89,7 @@
     void flush_envelopes();
     void publish_snapshot(time_point now);
     void make_core();
+    void seal_if_quiet();
     static time_point now();
 
     agent_daemon_settings settings_;
@@ -91,6 +99,7 @@
     registration_desk desk_;
     bool is_server_up_ = false;
     bool is_draining_ = false;
+    std::function<void(const agent_seal&)> on_sealed_;
     std::shared_ptr<const subscriber_table> table_;
     std::string service_;
     member_id self_ = 0;
--- a/modules/carawayshelf_io/control_client.cpp
+++ b/modules/carawayshelf_io/control_client.cpp
@@ -84,6 +84,10 @@
 void control_client::lose_connection()
 {
     connection_ = nullptr;
+    if (on_parked_)
+    {
+        std::exchange(on_parked_, nullptr)(false);
+    }
     for (const auto& [number, done] : std::exchange(waiting_, {}))
     {
         done(error_kind::not_confirmed, {});
@@ -109,6 +113,10 @@
             on_update_(*update);
         }
     }
+    if (received.claimed && on_parked_)
+    {
+        std::exchange(on_parked_, nullptr)(true);
+    }
     if (received.client_reply)
     {
         auto found = waiting_.extract(received.client_reply->number);
@@ -146,6 +154,22 @@
         });
 }
 
+void control_client::park(const std::string& name, const std::string& content,
+                          std::function<void(bool)> done)
+{
+    if (!is_connected())
+    {
+        done(false);
+        return;
+    }
+    on_parked_ = std::move(done);
+    frame sent;
+    sent.park = std::make_unique<buffers::parcel_object>();
+    sent.park->name = name;
+    sent.park->content.assign(content.begin(), content.end());
+    connection_->send(sent);
+}
+
 void control_client::propose(const change& edit, result_handler done)
 {
     if (!is_connected())
--- a/modules/carawayshelf_io/control_client.hpp
+++ b/modules/carawayshelf_io/control_client.hpp
@@ -40,6 +40,10 @@
     /** Proposes a change. The handler is told no_leader when there is no connection. */
     void propose(const change& edit, result_handler done);
 
+    /** Leaves a sealed state at the connected control instance, and at no other. The handler is
+       told whether it arrived. */
+    void park(const std::string& name, const std::string& content, std::function<void(bool)> done);
+
     /** Whether a control instance is connected. */
     bool is_connected() const
     {
@@ -66,6 +70,7 @@
     boost::asio::steady_timer heartbeat_timer_;
     std::uint64_t last_number_ = 0;
     std::map<std::uint64_t, result_handler> waiting_;
+    std::function<void(bool)> on_parked_;
 };
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -185,6 +185,7 @@
     {
         handle_report(connection, *received.lease);
     }
+    handle_parcels(connection, received);
     if (received.client_request)
     {
         handle_request(*received.client_request,
@@ -220,6 +221,31 @@
     schedule_pump();
 }
 
+void control_server::handle_parcels(const connection_pointer& connection, const frame& received)
+{
+    if (!received.park && !received.claim)
+    {
+        return;
+    }
+    frame answer;
+    answer.claimed = std::make_unique<buffers::parcel_object>();
+    if (received.park)
+    {
+        const std::vector<std::uint8_t>& content = received.park->content;
+        if (!parked_.park(now(), received.park->name, {content.begin(), content.end()}))
+        {
+            log_warning("no room to park the state of " + received.park->name);
+            return;
+        }
+    }
+    if (received.claim)
+    {
+        const std::string content = parked_.claim(now(), received.claim->name);
+        answer.claimed->content.assign(content.begin(), content.end());
+    }
+    connection->send(answer);
+}
+
 void control_server::connect_peers()
 {
     for (std::size_t slot = 1; slot <= peers_.size(); ++slot)
--- a/modules/carawayshelf_io/control_server.hpp
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -8,6 +8,7 @@
 #include "carawayshelf_io/frame_connection.hpp"
 #include "carawayshelf_io/lease_table.hpp"
 #include "carawayshelf_io/metrics_page.hpp"
+#include "carawayshelf_io/parking_place.hpp"
 #include "carawayshelf_io/settings.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -123,6 +124,7 @@
     void propose_change(const change& edit, std::uint64_t number, reply_handler done);
     void bootstrap(const buffers::request_object& request, const reply_handler& done);
     void forward(const buffers::request_object& request, reply_handler done);
+    void handle_parcels(const connection_pointer& connection, const frame& received);
     void handle_forwarded_reply(reply_pointer reply);
     void fail_forwarded(const std::function<bool(const pending_request&)>& picks, const char* why);
     reply_pointer read_reply(const buffers::request_object& request);
@@ -155,6 +157,7 @@
     cluster_state state_;
     voter_renewal renewal_;
     lease_table leases_;
+    parking_place parked_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer lease_timer_;
--- a/modules/carawayshelf_io/operator_client.cpp
+++ b/modules/carawayshelf_io/operator_client.cpp
@@ -75,11 +75,58 @@
 
 bool operator_client::call_one(const endpoint& instance, const buffers::request_object& request,
                                buffers::reply_object& reply)
+{
+    bool is_done = false;
+    frame sent;
+    sent.client_request = copy_request(request);
+    const bool is_sent = exchange_frames(instance, std::min(one_try, timeout_), sent,
+                                         [&](frame& received)
+                                         {
+                                             if (!received.client_reply)
+                                             {
+                                                 return false;
+                                             }
+                                             reply = std::move(*received.client_reply);
+                                             is_done = true;
+                                             return true;
+                                         });
+    if (is_sent && !is_done)
+    {
+        reply.error = static_cast<std::uint8_t>(error_kind::not_confirmed);
+        reply.detail = "control instance " + to_string(instance) + " gave no answer";
+        return true;
+    }
+    return is_done;
+}
+
+std::string operator_client::claim(const std::string& name)
+{
+    std::string content;
+    frame sent;
+    sent.claim = std::make_unique<buffers::parcel_object>();
+    sent.claim->name = name;
+    for (const endpoint& instance : instances_)
+    {
+        exchange_frames(instance, timeout_, sent,
+                        [&content](frame& received)
+                        {
+                            if (received.claimed && !received.claimed->content.empty())
+                            {
+                                content.assign(received.claimed->content.begin(),
+                                               received.claimed->content.end());
+                            }
+                            return received.claimed != nullptr;
+                        });
+    }
+    return content;
+}
+
+bool operator_client::exchange_frames(const endpoint& instance, std::chrono::milliseconds limit,
+                                      const frame& sent, const frame_taker& take) const
 {
     boost::asio::io_context io;
     boost::asio::ip::tcp::socket socket(io);
     bool is_sent = false;
-    bool is_done = false;
     std::shared_ptr<frame_connection> connection;
     socket.async_connect(to_asio(instance),
                          [&](const boost::system::error_code& error)
@@ -93,27 +140,17 @@
                              connection->start(
                                  [&](frame& received)
                                  {
-                                     if (received.client_reply)
+                                     if (take(received))
                                      {
-                                         reply = std::move(*received.client_reply);
-                                         is_done = true;
                                          io.stop();
                                      }
                                  },
                                  [&io](const failure& /*why*/) { io.stop(); });
-                             frame sent;
-                             sent.client_request = copy_request(request);
                              connection->send(sent);
                              is_sent = true;
                          });
-    io.run_for(std::min(one_try, timeout_));
-    if (is_sent && !is_done)
-    {
-        reply.error = static_cast<std::uint8_t>(error_kind::not_confirmed);
-        reply.detail = "control instance " + to_string(instance) + " gave no answer";
-        return true;
-    }
-    return is_done;
+    io.run_for(limit);
+    return is_sent;
 }
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_io/operator_client.hpp
+++ b/modules/carawayshelf_io/operator_client.hpp
@@ -6,7 +6,9 @@
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
+#include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace carawayshelf
@@ -24,7 +26,18 @@
         Errors: unreachable, no_leader, not_confirmed; others are in the reply itself. */
     failure call(const buffers::request_object& request, buffers::reply_object& reply);
 
+    /** Takes the state that was parked under a name, from whichever instance has it; empty when
+       none has. */
+    std::string claim(const std::string& name);
+
 private:
+    using frame_taker = std::function<bool(frame&)>;
+
+    /** Sends one frame to one instance and waits until the taker has got its answer. Returns
+       whether it was sent; a lost answer leaves the taker untouched. */
+    bool exchange_frames(const endpoint& instance, std::chrono::milliseconds limit,
+                         const frame& sent, const frame_taker& take) const;
+
     bool call_one(const endpoint& instance, const buffers::request_object& request,
                   buffers::reply_object& reply);
 
--- a/modules/carawayshelf_io/registration_desk.cpp
+++ b/modules/carawayshelf_io/registration_desk.cpp
@@ -61,6 +61,13 @@
     return event;
 }
 
+void registration_desk::restore(const std::string& service, const endpoint& server)
+{
+    service_ = service;
+    server_ = server;
+    is_registered_ = true;
+}
+
 registration_event registration_desk::handle_start(const coap_message& request, coap_message& reply)
 {
     const std::optional<std::string> service = request.find_query("d");
--- a/modules/carawayshelf_io/registration_desk.hpp
+++ b/modules/carawayshelf_io/registration_desk.hpp
@@ -33,6 +33,9 @@
     /** Handles one datagram; the answer is empty when there is none to give. */
     registration_event handle(std::string_view datagram, std::string& answer);
 
+    /** Takes over a registration that an earlier incarnation of the agent held. */
+    void restore(const std::string& service, const endpoint& server);
+
     /** Service that the registered server belongs to; empty without one. */
     const std::string& service() const
     {
--- a/modules/carawayshelf_io/udp_socket.cpp
+++ b/modules/carawayshelf_io/udp_socket.cpp
@@ -53,10 +53,18 @@
     return {};
 }
 
-unique_fd connect_udp_socket(const endpoint& peer)
+unique_fd connect_udp_socket(const endpoint& peer, std::uint16_t local_port)
 {
     unique_fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     const sockaddr_in address = to_socket_address(peer);
+    if (local_port != 0)
+    {
+        const sockaddr_in own = to_socket_address({0, local_port});
+        if (::bind(fd.get(), reinterpret_cast<const sockaddr*>(&own), sizeof(own)) != 0)
+        {
+            fd.reset();
+        }
+    }
     if (fd.is_open() &&
         ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0)
     {
@@ -65,6 +73,14 @@
     return fd;
 }
 
+std::uint16_t local_port_of(int fd)
+{
+    sockaddr_in own{};
+    socklen_t size = sizeof(own);
+    return ::getsockname(fd, reinterpret_cast<sockaddr*>(&own), &size) == 0 ? ntohs(own.sin_port)
+                                                                            : std::uint16_t{0};
+}
+
 receive_batch::receive_batch() : buffers_(batch_size)
 {
     for (std::size_t i = 0; i < batch_size; ++i)
--- a/modules/carawayshelf_io/udp_socket.hpp
+++ b/modules/carawayshelf_io/udp_socket.hpp
@@ -24,9 +24,12 @@
     Errors: invalid_settings, when the address can't be bound. */
 failure open_udp_socket(const endpoint& address, unique_fd& opened, bool shared = false);
 
-/** Opens a non-blocking UDP socket with a free local port, connected to a peer. Returns a closed
-    one on failure, with errno set. */
-unique_fd connect_udp_socket(const endpoint& peer);
+/** Opens a non-blocking UDP socket with a free local port, or the given one, connected to a peer.
+   Returns a closed one on failure, with errno set. */
+unique_fd connect_udp_socket(const endpoint& peer, std::uint16_t local_port = 0);
+
+/** Local port of a socket; zero when it has none. */
+std::uint16_t local_port_of(int fd);
 
 /** Datagrams that one system call moves at most. */
 constexpr std::size_t batch_size = 32;
--- a/modules/carawayshelf_steering/earlier_owners.hpp
+++ b/modules/carawayshelf_steering/earlier_owners.hpp
@@ -22,8 +22,8 @@
     return a.member == b.member && a.retired_at == b.retired_at;
 }
 
-/** The earlier owners of a bucket, latest first. Almost always empty, and then as small as a pointer:
-    a daemon holds hundreds of thousands of rows. Not thread-safe while it changes. */
+/** The earlier owners of a bucket, latest first. Almost always empty, and then as small as a
+   pointer: a daemon holds hundreds of thousands of rows. Not thread-safe while it changes. */
 class earlier_owners
 {
 public:
--- a/tests/standins/backend_server.cpp
+++ b/tests/standins/backend_server.cpp
@@ -25,6 +25,7 @@
 DEFINE_int32(work_ms, 2, "time that a request takes");
 DEFINE_int32(cold_ms, 2000, "length of its cold start");
 DEFINE_int32(cold_per_s, 400, "requests a second that it bears while cold");
+DEFINE_int32(drain_seconds, 15, "longest time that it serves on after it was told to stop");
 DEFINE_int32(feed_ms, 100, "interval of feed notifications");
 
 namespace carawayshelf::standins
@@ -67,7 +68,7 @@
             if (is_stop_asked() && !is_leaving_)
             {
                 is_leaving_ = true;
-                leave_by_ = clock_now() + std::chrono::seconds(5);
+                leave_by_ = clock_now() + std::chrono::seconds(FLAGS_drain_seconds);
                 register_at_agent(coap_codes::del, "rd/1");
             }
             if (is_leaving_ && clock_now() > leave_by_)
@@ -107,7 +108,7 @@
 
     bool has_work() const
     {
-        return !jobs_.empty();
+        return !jobs_.empty() || !observers_.empty();
     }
 
     void receive(int fd)
