--- a/modules/carawayshelf_admission/agent_seal.hpp
+++ b/modules/carawayshelf_admission/agent_seal.hpp
@@ -4,8 +4,8 @@
 #include "carawayshelf_admission/flow_table.hpp"
 
 #include <cstdint>
-#include <string>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
--- a/tests/fakes/agent_world.cpp
+++ b/tests/fakes/agent_world.cpp
@@ -192,6 +192,9 @@
             slot.core->server_started(now_);
         }
         break;
+    case step_kind::restart_agent:
+        restart_planned(slot);
+        break;
     case step_kind::freeze_agent:
         if (slot.core && !slot.is_frozen)
         {
@@ -291,6 +294,31 @@
     lost_members_[slot.member] = generation_ + 1;
 }
 
+void agent_world::restart_planned(agent_slot& slot)
+{
+    if (!slot.core || slot.is_frozen || slot.core->is_unconfirmed())
+    {
+        return;
+    }
+    active_agent_ = slot.number;
+    slot.core->begin_seal(now_);
+    advance_to(now_ + std::chrono::milliseconds(100));
+    if (!slot.core->can_seal())
+    {
+        crash(slot); // It had to be ended before it was done: nothing is parked.
+        return;
+    }
+    const std::optional<agent_seal> seal = decode_seal(encode_seal(slot.core->seal(now_)));
+    slot.core =
+        std::make_unique<agent_core>(agent_settings{}, next_epoch_++, *this, *slot.counters);
+    advance_to(now_ + std::chrono::milliseconds(random(500)));
+    active_agent_ = slot.number;
+    slot.core->restore(now_, *seal);
+    slot.core->set_draining(slot.is_draining);
+    slot.table = subscriber_table();
+    sync_agent(slot);
+}
+
 void agent_world::retire(member_id member)
 {
     apply(retire_member{member});
--- a/tests/fakes/agent_world.hpp
+++ b/tests/fakes/agent_world.hpp
@@ -31,6 +31,7 @@
     leave,
     crash_agent,
     restart_server,
+    restart_agent, ///< Planned: the state is sealed and taken over.
     freeze_agent,
     wake_agent,
     domain_out,
@@ -168,6 +169,7 @@
     void push(duration delay, delivery item, bool may_lose);
     void join(agent_slot& slot);
     void crash(agent_slot& slot);
+    void restart_planned(agent_slot& slot);
     void retire_silent();
     void retire(member_id member);
     void sync_agent(agent_slot& slot);
--- a/tests/fakes/generated_history.hpp
+++ b/tests/fakes/generated_history.hpp
@@ -16,24 +16,13 @@
 inline rc::Gen<std::vector<history_step>> any_history()
 {
     const rc::Gen<step_kind> kinds = rc::gen::weightedElement<step_kind>({
-        {24, step_kind::call_get},
-        {16, step_kind::call_post},
-        {8, step_kind::call_repeat},
-        {30, step_kind::advance},
-        {12, step_kind::sync_agent},
-        {8, step_kind::sync_balancer},
-        {12, step_kind::report},
-        {4, step_kind::join},
-        {3, step_kind::drain},
-        {3, step_kind::leave},
-        {2, step_kind::crash_agent},
-        {2, step_kind::restart_server},
-        {1, step_kind::freeze_agent},
-        {3, step_kind::wake_agent},
-        {1, step_kind::domain_out},
-        {2, step_kind::domain_in},
-        {1, step_kind::edit_entry},
-        {1, step_kind::long_pause},
+        {24, step_kind::call_get},     {16, step_kind::call_post},  {8, step_kind::call_repeat},
+        {30, step_kind::advance},      {12, step_kind::sync_agent}, {8, step_kind::sync_balancer},
+        {12, step_kind::report},       {4, step_kind::join},        {3, step_kind::drain},
+        {3, step_kind::leave},         {2, step_kind::crash_agent}, {2, step_kind::restart_server},
+        {1, step_kind::freeze_agent},  {3, step_kind::wake_agent},  {1, step_kind::domain_out},
+        {2, step_kind::domain_in},     {1, step_kind::edit_entry},  {1, step_kind::long_pause},
+        {2, step_kind::restart_agent},
     });
     const rc::Gen<history_step> steps = rc::gen::apply(
         [](step_kind kind, std::uint32_t pick) {
