Replies leave a lost balancer at once

Cause: an agent kept the balancer that relayed a flow last for 3 s after it had fallen silent, and feeds have no traffic of their own to bring another one. Ruled out: the fabric (it withdraws a closed port within 200 ms), the callers' sockets. Now a closed envelope port is reported by the kernel's error queue and moves the replies at once; where the whole instance is gone, one second of silence while another balancer relays is enough.

--- a/benchmarks/imbalance.cpp
+++ b/benchmarks/imbalance.cpp
@@ -1,7 +1,7 @@
 /** @file
-    Imbalance over 7 backend servers with and without the second choice, and flows that planned changes
-    break, against two naive baselines: hash over live servers, and rendezvous hash. Virtual time, a
-    fixed seed.
+    Imbalance over 7 backend servers with and without the second choice, and flows that planned
+   changes break, against two naive baselines: hash over live servers, and rendezvous hash. Virtual
+   time, a fixed seed.
 */
 #include "carawayshelf_admission/agent_core.hpp"
 #include "carawayshelf_catalogue/cluster_state.hpp"
@@ -77,9 +77,9 @@
         header.flow = flow;
         header.row_generation = row.changed_at;
         header.owner.member = row.owner;
-        const auto owner = std::find_if(agents_.begin(), agents_.end(),
-                                        [&row](const auto& item)
-                                        { return item.second->member == row.owner; });
+        const auto owner =
+            std::find_if(agents_.begin(), agents_.end(),
+                         [&row](const auto& item) { return item.second->member == row.owner; });
         queue_.push_back({owner->first, header, encode_coap(post)});
         deliver();
         for (const auto& [number, item] : agents_)
@@ -223,8 +223,8 @@
     std::uint64_t best_score = 0;
     for (const std::size_t server : servers)
     {
-        const std::uint64_t score =
-            hash_of({static_cast<service_id>(server), {caller, static_cast<std::uint16_t>(caller)}});
+        const std::uint64_t score = hash_of(
+            {static_cast<service_id>(server), {caller, static_cast<std::uint16_t>(caller)}});
         if (best == 0 || score > best_score)
         {
             best = server;
--- a/modules/carawayshelf_admission/agent_core.cpp
+++ b/modules/carawayshelf_admission/agent_core.cpp
@@ -912,22 +912,26 @@
 
 endpoint agent_core::live_balancer(const endpoint& preferred) const
 {
-    const auto known = balancers_.find(preferred);
-    if (known != balancers_.end() && now_ - known->second < settings_.balancer_fresh)
-    {
-        return preferred;
-    }
-    endpoint best = preferred;
-    time_point latest = known == balancers_.end() ? time_point{} : known->second;
+    endpoint latest;
+    time_point latest_heard{};
     for (const auto& [address, heard] : balancers_)
     {
-        if (heard > latest && now_ - heard < settings_.balancer_fresh)
+        if (latest.is_none() || heard > latest_heard)
         {
-            best = address;
-            latest = heard;
+            latest = address;
+            latest_heard = heard;
         }
     }
-    return best;
+    const auto known = balancers_.find(preferred);
+    const bool is_lost = known == balancers_.end() && !latest.is_none();
+    const bool is_silent =
+        known != balancers_.end() && latest_heard - known->second >= settings_.balancer_silence;
+    return is_lost || is_silent ? latest : preferred;
+}
+
+void agent_core::balancer_gone(const endpoint& balancer)
+{
+    balancers_.erase(balancer);
 }
 
 void agent_core::send_reply(const flow_key& key, const endpoint& via, std::string_view datagram)
--- a/modules/carawayshelf_admission/agent_core.hpp
+++ b/modules/carawayshelf_admission/agent_core.hpp
@@ -27,7 +27,8 @@
     duration default_deadline = std::chrono::seconds(5); ///< For requests that name none.
     duration server_timeout = std::chrono::seconds(30);  ///< A running request is given up.
     duration hint_interval = std::chrono::milliseconds(100);
-    duration balancer_fresh = std::chrono::seconds(3); ///< A balancer heard from since is live.
+    /** A balancer that is silent for that long while another relays is taken for lost. */
+    duration balancer_silence = std::chrono::seconds(1);
     /** After a silence of its own that long, control may have given the agent up: it serves nothing
         until it has heard from control. Shorter than the lease. */
     duration longest_freeze = std::chrono::seconds(2);
@@ -82,6 +83,9 @@
     /** The backend server's port is closed. */
     void server_down(time_point now);
 
+    /** A balancer's envelope port is closed: replies go through another one. */
+    void balancer_gone(const endpoint& balancer);
+
     /** The backend server leaves, or stays after all. */
     void set_draining(bool draining);
 
--- a/modules/carawayshelf_io/agent_traffic.cpp
+++ b/modules/carawayshelf_io/agent_traffic.cpp
@@ -71,6 +71,7 @@
     {
         return failed;
     }
+    watch_errors(data_socket_.get());
     watch(epoll_.get(), wake_.get());
     watch(epoll_.get(), data_socket_.get());
     watch(epoll_.get(), announce_socket_.get());
@@ -251,6 +252,11 @@
 
 void agent_traffic::receive_envelopes()
 {
+    for (endpoint closed = take_closed_receiver(data_socket_.get()); !closed.is_none();
+         closed = take_closed_receiver(data_socket_.get()))
+    {
+        core_->balancer_gone(closed);
+    }
     const std::size_t count = received_.receive(data_socket_.get());
     const time_point instant = now();
     for (std::size_t i = 0; i < count; ++i)
--- a/modules/carawayshelf_io/udp_socket.cpp
+++ b/modules/carawayshelf_io/udp_socket.cpp
@@ -73,6 +73,29 @@
     return fd;
 }
 
+void watch_errors(int fd)
+{
+    const int on = 1;
+    ::setsockopt(fd, IPPROTO_IP, IP_RECVERR, &on, sizeof(on));
+}
+
+endpoint take_closed_receiver(int fd)
+{
+    sockaddr_in receiver{};
+    std::array<char, 512> control{};
+    char byte = 0;
+    iovec part{&byte, 1};
+    msghdr message{};
+    message.msg_name = &receiver;
+    message.msg_namelen = sizeof(receiver);
+    message.msg_iov = &part;
+    message.msg_iovlen = 1;
+    message.msg_control = control.data();
+    message.msg_controllen = control.size();
+    const ssize_t size = ::recvmsg(fd, &message, MSG_ERRQUEUE | MSG_DONTWAIT);
+    return size < 0 ? endpoint{} : from_socket_address(receiver);
+}
+
 std::uint16_t local_port_of(int fd)
 {
     sockaddr_in own{};
--- a/modules/carawayshelf_io/udp_socket.hpp
+++ b/modules/carawayshelf_io/udp_socket.hpp
@@ -28,6 +28,12 @@
    Returns a closed one on failure, with errno set. */
 unique_fd connect_udp_socket(const endpoint& peer, std::uint16_t local_port = 0);
 
+/** Asks for the errors that datagrams of a socket cause elsewhere, such as a closed port. */
+void watch_errors(int fd);
+
+/** Takes one such error without waiting: the receiver whose port is closed, or none. */
+endpoint take_closed_receiver(int fd);
+
 /** Local port of a socket; zero when it has none. */
 std::uint16_t local_port_of(int fd);
 
--- a/tests/unit/agent_core_test.cpp
+++ b/tests/unit/agent_core_test.cpp
@@ -282,6 +282,32 @@
     BOOST_TEST(port.last_reply().payload == "answer to t1");
 }
 
+BOOST_AUTO_TEST_CASE(a_feed_goes_on_through_another_balancer_when_its_own_is_gone)
+{
+    coap_message observe = request(coap_codes::get, 1);
+    observe.add_uint(coap_options::observe, 0);
+    receive(observe);
+    coap_message notice = answer_to(observe);
+    notice.add_uint(coap_options::observe, 1);
+    answer_from_server(notice);
+    BOOST_TEST(to_string(port.envelopes.back().to) == to_string(balancer));
+
+    // Another flow comes through another balancer.
+    const endpoint other{0x7F000202, 7101};
+    envelope header;
+    header.flow = {flow.service, {0x7F000301, 40001}};
+    header.reply_to = other;
+    header.owner.member = self;
+    agent.receive_envelope(now, header, encode_coap(request(coap_codes::get, 2)));
+    notice.type = coap_type::non_confirmable;
+    notice.message_id = 77;
+    answer_from_server(notice);
+    BOOST_TEST(to_string(port.envelopes.back().to) == to_string(balancer));
+    agent.balancer_gone(balancer);
+    answer_from_server(notice);
+    BOOST_TEST(to_string(port.envelopes.back().to) == to_string(other));
+}
+
 BOOST_AUTO_TEST_CASE(every_datagram_is_counted_once_as_something)
 {
     receive(request(coap_codes::get, 1));
