--- a/modules/carawayshelf_admission/agent_core.hpp
+++ b/modules/carawayshelf_admission/agent_core.hpp
@@ -135,6 +135,9 @@
     }
 
 private:
+    /** Max-Age of refusals, in seconds. */
+    static constexpr std::uint32_t retry_after_s = 1;
+
     struct known_load
     {
         std::uint32_t flows = 0;
--- /dev/null
+++ b/modules/carawayshelf_admission/agent_core_server.cpp
@@ -0,0 +1,213 @@
+/** @file
+    What comes from the backend server, feeds, and the way back to callers.
+*/
+#include "carawayshelf_admission/agent_core.hpp"
+#include "carawayshelf_admission/erase_if.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawayshelf
+{
+
+void agent_core::receive_from_server(time_point now, const flow_key& key, std::string_view datagram)
+{
+    now_ = now;
+    const std::optional<coap_message> parsed = parse_coap(datagram);
+    flow* held = flows_.find(key);
+    if (!parsed || held == nullptr || held->placed_on != 0)
+    {
+        counters_.drops.add(parsed ? agent_drop::unmatched_answer : agent_drop::malformed_message);
+        return;
+    }
+    held->last_seen = now;
+    const bool is_piggybacked =
+        parsed->type == coap_type::acknowledgement || parsed->type == coap_type::reset;
+    if (is_piggybacked && parsed->code == coap_codes::empty &&
+        parsed->type == coap_type::acknowledgement)
+    {
+        send_to_caller(key, *held, datagram); // The answer comes separately.
+        return;
+    }
+    if (!is_piggybacked && held->has_answered_as(parsed->message_id))
+    {
+        send_to_caller(key, *held, datagram);
+        return;
+    }
+    for (const open_request& item : held->open)
+    {
+        const bool matches =
+            is_piggybacked ? item.message_id == parsed->message_id : item.token == parsed->token;
+        const exchange_key exchange_id{key, item.message_id};
+        const exchange* record = matches ? memory_.find(exchange_id) : nullptr;
+        if (record != nullptr && record->state == exchange_state::running)
+        {
+            finish(now, exchange_id, datagram, *parsed, *held);
+            return;
+        }
+    }
+    if (!relay_notification(key, datagram, *parsed, *held))
+    {
+        counters_.drops.add(agent_drop::unmatched_answer);
+        if (parsed->type == coap_type::confirmable)
+        {
+            port_.send_to_server(key,
+                                 encode_coap(make_empty(coap_type::reset, parsed->message_id)));
+        }
+    }
+}
+
+void agent_core::finish(time_point now, const exchange_key& key, std::string_view datagram,
+                        const coap_message& parsed, flow& held)
+{
+    exchange& record = *memory_.find(key);
+    update_feed(record, parsed, held);
+    record.state = exchange_state::answered;
+    record.datagram = std::string(datagram);
+    if (parsed.type != coap_type::acknowledgement)
+    {
+        held.note_answer_id(parsed.message_id);
+    }
+    drop_open(key);
+    erase_if(running_, [&key](const exchange_key& item) { return item == key; });
+    counters_.served.fetch_add(1, std::memory_order_relaxed);
+    gate_.finished();
+    send_to_caller(key.flow, held, datagram);
+    run_waiting(now);
+}
+
+void agent_core::update_feed(const exchange& record, const coap_message& parsed, flow& held)
+{
+    if (!record.observes)
+    {
+        return;
+    }
+    erase_if(held.feeds, [&record](const feed& item) { return item.token == record.token; });
+    if (parsed.find_option(coap_options::observe) != nullptr && (parsed.code >> 5U) == 2)
+    {
+        held.feeds.push_back({record.token, parsed.message_id});
+    }
+}
+
+bool agent_core::relay_notification(const flow_key& key, std::string_view datagram,
+                                    const coap_message& parsed, flow& held)
+{
+    const auto found =
+        std::find_if(held.feeds.begin(), held.feeds.end(),
+                     [&parsed](const feed& item) { return item.token == parsed.token; });
+    if (found == held.feeds.end() || !parsed.is_response())
+    {
+        return false;
+    }
+    found->last_notification = parsed.message_id;
+    if (parsed.find_option(coap_options::observe) == nullptr || (parsed.code >> 5U) != 2)
+    {
+        held.feeds.erase(found);
+    }
+    send_to_caller(key, held, datagram);
+    return true;
+}
+
+void agent_core::end_feeds(const flow_key& key, flow& held)
+{
+    for (const feed& item : std::exchange(held.feeds, {}))
+    {
+        coap_message notice;
+        notice.type = coap_type::non_confirmable;
+        notice.message_id = next_message_id_++;
+        notice.code = coap_codes::unavailable;
+        notice.token = item.token;
+        notice.add_uint(coap_options::max_age, retry_after_s);
+        notice.payload = "feed ended: register again";
+        counters_.retries.add(agent_retry::feed_ended);
+        send_to_caller(key, held, encode_coap(notice));
+    }
+}
+
+void agent_core::end_feeds_everywhere()
+{
+    for (auto& [key, held] : flows_.all())
+    {
+        end_feeds(key, held);
+    }
+}
+
+void agent_core::server_started(time_point now)
+{
+    now_ = now;
+    server_down(now);
+    server_up_ = true;
+    draining_ = false;
+    gate_.server_started(now);
+}
+
+void agent_core::server_down(time_point now)
+{
+    now_ = now;
+    if (!server_up_)
+    {
+        return;
+    }
+    server_up_ = false;
+    give_up_running("the backend server has stopped");
+    for (const exchange_key& key : gate_.reset())
+    {
+        if (exchange* record = memory_.find(key))
+        {
+            refuse(key, *record, refusal_reason::server_down);
+        }
+    }
+    end_feeds_everywhere();
+    for (const auto& [key, held] : flows_.all())
+    {
+        port_.close_flow(key);
+    }
+}
+
+void agent_core::set_draining(bool draining)
+{
+    draining_ = draining;
+}
+
+void agent_core::send_to_caller(const flow_key& key, const flow& held, std::string_view datagram)
+{
+    send_reply(key, live_balancer(held.reply_to), datagram);
+}
+
+endpoint agent_core::live_balancer(const endpoint& preferred) const
+{
+    endpoint latest;
+    time_point latest_heard{};
+    for (const auto& [address, heard] : balancers_)
+    {
+        if (latest.is_none() || heard > latest_heard)
+        {
+            latest = address;
+            latest_heard = heard;
+        }
+    }
+    const auto known = balancers_.find(preferred);
+    const bool is_lost = known == balancers_.end() && !latest.is_none();
+    const bool is_silent =
+        known != balancers_.end() && latest_heard - known->second >= settings_.balancer_silence;
+    return is_lost || is_silent ? latest : preferred;
+}
+
+void agent_core::balancer_gone(const endpoint& balancer)
+{
+    balancers_.erase(balancer);
+}
+
+void agent_core::send_reply(const flow_key& key, const endpoint& via, std::string_view datagram)
+{
+    envelope header;
+    header.kind = envelope_kind::to_caller;
+    header.flow = key;
+    header.table_generation = held_;
+    header.row_generation = rows_[bucket_of(key)].changed_at;
+    header.owner.member = self_;
+    header.sender_load = load();
+    port_.send_envelope(via, header, datagram);
+}
+
+} // namespace carawayshelf
--- a/modules/carawayshelf_io/agent_daemon.cpp
+++ b/modules/carawayshelf_io/agent_daemon.cpp
@@ -96,8 +96,7 @@
         traffic_.seal_when_quiet(
             [this](const agent_seal& seal)
             {
-                agent_seal whole = seal;
-                boost::asio::post(io_, [this, whole] { park(whole); });
+                boost::asio::post(io_, [this, whole = seal] { park(whole); });
             });
         stop_timer_.expires_after(longest_stop);
         stop_timer_.async_wait([this](const boost::system::error_code& /*error*/) { io_.stop(); });
