Tests of sockets with bad input and of parking; what nothing used is gone

Three new tests: broken frames close their connection with a typed error, a balancer counts what it drops by reason, a parked state is given out once.

The gate's cancel() and the refusal 'cancelled' had no caller: CoAP has no message that cancels a request, and a Reset names message IDs of another number space, so cancelling by it could hit the wrong request. Both are removed; the one assertion that used cancel() is replaced by a stricter one on what expires.

--- a/benchmarks/capacity.cpp
+++ b/benchmarks/capacity.cpp
@@ -185,12 +185,7 @@
 void measure_agent(slopes& found)
 {
     std::printf("| flows | bytes a flow | with one remembered request each |\n|---|---|---|\n");
-    cluster_state state = make_state(1, 1);
-    put_service put;
-    put.entry = state.find_service("service-0")->entry;
-    put.entry.limits.server_flows = 100000;
-    put.expected_version = state.version_of("service-0");
-    state.apply(100, put);
+    const cluster_state state = make_wide_state();
     subscriber_table table;
     table.apply(state.collect_update(0, ""));
     coap_message post;
--- a/benchmarks/core_benchmark.cpp
+++ b/benchmarks/core_benchmark.cpp
@@ -68,12 +68,7 @@
     request, so that no slot is taken. */
 void agent_decision(benchmark::State& run)
 {
-    cluster_state state = make_state(1, 1);
-    put_service put;
-    put.entry = state.find_service("service-0")->entry;
-    put.entry.limits.server_flows = 100000;
-    put.expected_version = state.version_of("service-0");
-    state.apply(100, put);
+    const cluster_state state = make_wide_state();
     agent_counters counters;
     null_port port;
     agent_core agent(agent_settings{}, 1, port, counters);
--- a/benchmarks/sample_state.hpp
+++ b/benchmarks/sample_state.hpp
@@ -54,4 +54,16 @@
     return state;
 }
 
+/** A state with one service and one server that may hold very many flows. */
+inline cluster_state make_wide_state()
+{
+    cluster_state state = make_state(1, 1);
+    put_service put;
+    put.entry = state.find_service("service-0")->entry;
+    put.entry.limits.server_flows = 100000;
+    put.expected_version = state.version_of("service-0");
+    state.apply(state.data().held + 1, put);
+    return state;
+}
+
 } // namespace carawayshelf::benchmarks
--- a/modules/carawayshelf_admission/admission_gate.cpp
+++ b/modules/carawayshelf_admission/admission_gate.cpp
@@ -86,19 +86,6 @@
     return expired;
 }
 
-bool admission_gate::cancel(const exchange_key& key)
-{
-    const auto found = std::find_if(waiting_.begin(), waiting_.end(),
-                                    [&key](const std::pair<const time_point, exchange_key>& item)
-                                    { return item.second == key; });
-    if (found == waiting_.end())
-    {
-        return false;
-    }
-    waiting_.erase(found);
-    return true;
-}
-
 std::vector<exchange_key> admission_gate::reset()
 {
     std::vector<exchange_key> dropped;
--- a/modules/carawayshelf_admission/admission_gate.hpp
+++ b/modules/carawayshelf_admission/admission_gate.hpp
@@ -58,9 +58,6 @@
     /** Removes and returns waiting requests whose deadline has passed. */
     std::vector<exchange_key> expire(time_point now);
 
-    /** Removes one waiting request. Returns whether it was there. */
-    bool cancel(const exchange_key& key);
-
     /** Removes and returns all waiting requests, and counts none as running any more. */
     std::vector<exchange_key> reset();
 
--- a/modules/carawayshelf_admission/agent_core.cpp
+++ b/modules/carawayshelf_admission/agent_core.cpp
@@ -76,12 +76,12 @@
     const bool out = table.is_domain_out(own->second.domain);
     if (out && !out_of_service_)
     {
-        leave_service(now);
+        leave_service();
     }
     out_of_service_ = out;
 }
 
-void agent_core::leave_service(time_point now)
+void agent_core::leave_service()
 {
     for (const exchange_key& key : gate_.expire(time_point::max()))
     {
@@ -91,7 +91,6 @@
         }
     }
     end_feeds_everywhere();
-    now_ = now;
 }
 
 flow* agent_core::find_flow(const flow_key& key)
@@ -427,7 +426,7 @@
     if (now >= next_hint_)
     {
         next_hint_ = now + settings_.hint_interval;
-        send_hints(now);
+        send_hints();
     }
     if (now >= next_expiry_)
     {
@@ -437,7 +436,7 @@
     }
 }
 
-void agent_core::send_hints(time_point /*now*/)
+void agent_core::send_hints()
 {
     if (self_ == 0 || !settings_.use_second_choice || service_ == 0)
     {
--- a/modules/carawayshelf_admission/agent_core.hpp
+++ b/modules/carawayshelf_admission/agent_core.hpp
@@ -160,7 +160,7 @@
                         std::string_view datagram, flow& held);
     void handle_request(time_point now, const envelope& header, const coap_message& parsed,
                         std::string_view datagram, flow& held);
-    void handle_reset(const flow_key& key, const coap_message& parsed, flow& held);
+    static void end_feed_by_reset(const coap_message& parsed, flow& held);
     void handle_duplicate(const flow_key& key, const exchange& known);
     bool check_echo(time_point now, const flow_key& key, const coap_message& parsed,
                     exchange& record);
@@ -185,10 +185,10 @@
     void send_reply(const flow_key& key, const endpoint& via, std::string_view datagram);
     endpoint live_balancer(const endpoint& preferred) const;
     void drop(agent_drop reason);
-    void leave_service(time_point now);
+    void leave_service();
     void expire_flows(time_point now);
     void give_up_slow(time_point now);
-    void send_hints(time_point now);
+    void send_hints();
     std::optional<refusal_reason> reason_against_adopting() const;
     std::uint32_t load() const;
 
--- a/modules/carawayshelf_admission/agent_core_requests.cpp
+++ b/modules/carawayshelf_admission/agent_core_requests.cpp
@@ -54,13 +54,13 @@
     }
     if (parsed.type == coap_type::reset)
     {
-        handle_reset(header.flow, parsed, held);
+        end_feed_by_reset(parsed, held);
     }
     counters_.relayed.fetch_add(1, std::memory_order_relaxed);
     port_.send_to_server(header.flow, datagram);
 }
 
-void agent_core::handle_reset(const flow_key& /*key*/, const coap_message& parsed, flow& held)
+void agent_core::end_feed_by_reset(const coap_message& parsed, flow& held)
 {
     erase_if(held.feeds,
              [&parsed](const feed& item) { return item.last_notification == parsed.message_id; });
--- a/modules/carawayshelf_admission/agent_counters.hpp
+++ b/modules/carawayshelf_admission/agent_counters.hpp
@@ -19,13 +19,12 @@
     domain_out,
     deadline_passed,
     flow_limit,
-    server_down,
-    cancelled
+    server_down
 };
 
-inline constexpr name_table<refusal_reason, 8> refusal_reason_names{
+inline constexpr name_table<refusal_reason, 7> refusal_reason_names{
     {"queue_full", "server_cold", "draining", "domain_out", "deadline_passed", "flow_limit",
-     "server_down", "cancelled"}};
+     "server_down"}};
 
 /** Why an agent dropped a datagram without an answer. */
 enum class agent_drop
@@ -108,7 +107,7 @@
     std::atomic<std::uint64_t> dropped{0};  ///< Dropped on arrival, by reason below.
     std::atomic<std::uint64_t> run{0};      ///< Requests given to the backend server.
     std::atomic<std::uint64_t> served{0};   ///< Requests that the backend server answered.
-    counter_set<refusal_reason, 8> refusals;
+    counter_set<refusal_reason, 7> refusals;
     counter_set<agent_drop, 11> drops;
     counter_set<agent_retry, 10> retries;
 };
--- a/modules/carawayshelf_catalogue/cluster_state.hpp
+++ b/modules/carawayshelf_catalogue/cluster_state.hpp
@@ -68,12 +68,6 @@
         and its members; an empty name asks for all. */
     table_update collect_update(generation since, const std::string& only_service) const;
 
-    /** Whether a subscriber at this generation can get a delta of collect_update. */
-    bool is_behind(generation since) const
-    {
-        return since < data_.held;
-    }
-
     /** Version to expect of a service name: of the entry, of its removal, or zero. */
     std::uint64_t version_of(const std::string& service) const;
 
--- a/modules/carawayshelf_consensus/consensus_core.cpp
+++ b/modules/carawayshelf_consensus/consensus_core.cpp
@@ -211,12 +211,12 @@
     ++round_;
     log_record record;
     record.kind = record_kind::nothing;
-    append_own(now, std::move(record));
+    append_own(std::move(record));
     term_start_ = log_.last_index();
     broadcast_append(now);
 }
 
-void consensus_core::append_own(time_point /*now*/, log_record record)
+void consensus_core::append_own(log_record record)
 {
     record.index = log_.last_index() + 1;
     record.term = hard_.term;
@@ -241,7 +241,7 @@
     log_record record;
     record.kind = record_kind::payload;
     record.payload = std::move(payload);
-    append_own(now, std::move(record));
+    append_own(std::move(record));
     broadcast_append(now);
     return log_.last_index();
 }
@@ -267,7 +267,7 @@
     log_record record;
     record.kind = record_kind::members;
     record.voters = voters;
-    append_own(now, std::move(record));
+    append_own(std::move(record));
     for (const instance_id voter : voters)
     {
         if (voter != identity_ && followers_.count(voter) == 0)
--- a/modules/carawayshelf_consensus/consensus_core.hpp
+++ b/modules/carawayshelf_consensus/consensus_core.hpp
@@ -178,7 +178,7 @@
     void handle_append_reply(time_point now, const message& received);
     void handle_install(time_point now, const message& received);
     void store_records(const std::vector<log_record>& records);
-    void append_own(time_point now, log_record record);
+    void append_own(log_record record);
     void advance_commit(time_point now);
     void set_commit(log_index index);
     void confirm_reads();
--- a/modules/carawayshelf_io/agent_daemon.cpp
+++ b/modules/carawayshelf_io/agent_daemon.cpp
@@ -95,9 +95,7 @@
         is_stopping_ = true;
         traffic_.seal_when_quiet(
             [this](const agent_seal& seal)
-            {
-                boost::asio::post(io_, [this, whole = seal] { park(whole); });
-            });
+            { boost::asio::post(io_, [this, whole = seal] { park(whole); }); });
         stop_timer_.expires_after(longest_stop);
         stop_timer_.async_wait([this](const boost::system::error_code& /*error*/) { io_.stop(); });
     }
--- a/tests/standins/backend_server.cpp
+++ b/tests/standins/backend_server.cpp
@@ -156,6 +156,14 @@
             send(sender, reply);
             return;
         }
+        const std::uint32_t left_ms = parsed.find_uint(coap_options::deadline).value_or(UINT32_MAX);
+        if (left_ms < static_cast<std::uint32_t>(FLAGS_work_ms))
+        {
+            coap_message reply = reply_to(parsed, coap_codes::unavailable);
+            reply.payload = "not run: too late";
+            send(sender, reply);
+            return;
+        }
         jobs_.push_back({sender, parsed, clock_now() + std::chrono::milliseconds(FLAGS_work_ms)});
     }
 
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -101,7 +101,9 @@
     gate.finished();
     BOOST_TEST(gate.next(start)->message_id == 3);
     BOOST_TEST(!gate.next(start));
-    BOOST_TEST(gate.cancel(key_of(2)));
+    const std::vector<exchange_key> expired = gate.expire(start + std::chrono::seconds(3));
+    BOOST_REQUIRE(expired.size() == 1U);
+    BOOST_TEST(expired.front().message_id == 2);
     BOOST_TEST(gate.waiting() == 0U);
 }
 
--- /dev/null
+++ b/tests/unit/connection_test.cpp
@@ -0,0 +1,110 @@
+/** @file
+    Sockets with bad input: a broken frame closes its connection, a broken datagram is counted.
+*/
+#include "carawayshelf_io/balancer_worker.hpp"
+#include "carawayshelf_io/frame_connection.hpp"
+#include "carawayshelf_io/parking_place.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <thread>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+/** Lets a peer send bytes to a frame_connection; returns why that closed. */
+failure close_reason(const std::string& bytes)
+{
+    boost::asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(boost::asio::ip::address_v4(0x7F000B01), 0));
+    tcp::socket peer(io);
+    peer.connect(acceptor.local_endpoint());
+    const std::shared_ptr<frame_connection> connection =
+        std::make_shared<frame_connection>(acceptor.accept());
+    failure reason;
+    connection->start([](frame& /*received*/) {}, [&reason](const failure& why) { reason = why; });
+    boost::asio::write(peer, boost::asio::buffer(bytes));
+    io.run_for(std::chrono::seconds(5));
+    return reason;
+}
+
+/** Waits until a counter has reached a value; gives up after some seconds. */
+template <typename Read>
+bool reaches(const Read& read, std::uint64_t wanted)
+{
+    for (int i = 0; i < 500 && read() < wanted; ++i)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return read() == wanted;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(connections)
+
+BOOST_AUTO_TEST_CASE(a_broken_frame_closes_its_connection_with_a_typed_error)
+{
+    const failure garbage = close_reason(std::string("\0\0\0\x8garbage!", 12));
+    BOOST_TEST((garbage.code == make_error_code(error_kind::malformed_frame)));
+    const failure huge = close_reason("\xFF\xFF\xFF\xFF");
+    BOOST_TEST((huge.code == make_error_code(error_kind::malformed_frame)));
+    const failure empty = close_reason(std::string(4, '\0'));
+    BOOST_TEST((empty.code == make_error_code(error_kind::malformed_frame)));
+    BOOST_TEST(huge.message().find("same version") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_balancer_counts_what_it_drops)
+{
+    const endpoint service{0x7F000B02, 7601};
+    const endpoint data{0x7F000B02, 7602};
+    balancer_counters counters;
+    balancer_worker worker(data, counters);
+    BOOST_REQUIRE(!worker.start());
+    routing_table::builder builder(1);
+    builder.add_service(1, service, std::vector<bucket_row>(buckets_per_service));
+    std::shared_ptr<balancer_view> view = std::make_shared<balancer_view>();
+    view->table = builder.build();
+    view->sockets[1] = std::make_shared<unique_fd>();
+    BOOST_REQUIRE(!open_udp_socket(service, *view->sockets[1]));
+    worker.set_view(view);
+    const unique_fd caller = connect_udp_socket(service);
+    const unique_fd stranger = connect_udp_socket(data);
+    const std::string long_datagram(max_datagram_bytes + 1, 'x');
+    BOOST_TEST(::send(caller.get(), "ab", 2, 0) == 2);
+    BOOST_TEST(::send(caller.get(), long_datagram.data(), long_datagram.size(), 0) > 0);
+    BOOST_TEST(::send(caller.get(), "\x40\x01\x00\x01", 4, 0) == 4);
+    BOOST_TEST(::send(stranger.get(), "nonsense", 8, 0) == 8);
+    BOOST_TEST(reaches([&] { return counters.drops.total(); }, 4));
+    worker.stop();
+    BOOST_TEST(counters.drops.get(balancer_drop::too_short) == 1U);
+    BOOST_TEST(counters.drops.get(balancer_drop::too_long) == 1U);
+    BOOST_TEST(counters.drops.get(balancer_drop::no_owner) == 1U);
+    BOOST_TEST(counters.drops.get(balancer_drop::malformed_envelope) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_parked_state_is_given_out_once_and_not_for_long)
+{
+    const time_point start{std::chrono::seconds(1000)};
+    parking_place place;
+    BOOST_TEST(place.park(start, "agent-1", "old"));
+    BOOST_TEST(place.park(start, "agent-1", "new"));
+    BOOST_TEST(place.claim(start, "agent-2").empty());
+    BOOST_TEST(place.claim(start, "agent-1") == "new");
+    BOOST_TEST(place.claim(start, "agent-1").empty());
+    BOOST_TEST(place.park(start, "agent-1", "state"));
+    BOOST_TEST(place.claim(start + parking_place::longest_stay, "agent-1").empty());
+    BOOST_TEST(!place.park(start, "agent-1", std::string(parking_place::most_bytes + 1, 'x')));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace carawayshelf
