--- a/modules/carawayshelf_admission/admission_gate.hpp
+++ b/modules/carawayshelf_admission/admission_gate.hpp
@@ -40,12 +40,6 @@
 
     void server_started(time_point now);
 
-    /** Makes nothing wait or start any more, before a seal. */
-    void close()
-    {
-        slots_ = 0;
-    }
-
     /** Decides on a request; one that may run takes its slot at once. */
     gate_decision submit(time_point now, const exchange_key& key, time_point deadline);
 
--- a/modules/carawayshelf_admission/agent_core.hpp
+++ b/modules/carawayshelf_admission/agent_core.hpp
@@ -55,15 +55,11 @@
         construction. */
     void restore(time_point now, const agent_seal& seal);
 
-    /** Stops for good: requests that wait are refused as not run, and none is let in any more.
-       Those that run go on; seal() when nothing runs. */
-    void begin_seal(time_point now);
+    /** Stops to let requests in, for good. Those that run or wait go on; seal() when can_seal(). */
+    void begin_seal();
 
-    /** Whether nothing runs at the server any more. */
-    bool can_seal() const
-    {
-        return running_.empty();
-    }
+    /** Whether nothing runs at the server or waits for it any more. */
+    bool can_seal() const;
 
     /** State for the next incarnation, but for what only sockets know. Precondition: begin_seal()
         was called and can_seal(). */
--- a/modules/carawayshelf_admission/agent_core_seal.cpp
+++ b/modules/carawayshelf_admission/agent_core_seal.cpp
@@ -44,18 +44,14 @@
     }
 }
 
-void agent_core::begin_seal(time_point now)
+void agent_core::begin_seal()
 {
-    now_ = now;
     is_sealing_ = true;
-    for (const exchange_key& key : gate_.expire(time_point::max()))
-    {
-        if (exchange* record = memory_.find(key))
-        {
-            refuse(key, *record, refusal_reason::draining);
-        }
-    }
-    gate_.close();
+}
+
+bool agent_core::can_seal() const
+{
+    return is_sealing_ && running_.empty() && gate_.waiting() == 0;
 }
 
 agent_seal agent_core::seal(time_point now) const
--- a/modules/carawayshelf_io/agent_traffic.cpp
+++ b/modules/carawayshelf_io/agent_traffic.cpp
@@ -108,7 +108,7 @@
     post(
         [this, done = std::move(done)]
         {
-            core_->begin_seal(now());
+            core_->begin_seal();
             on_sealed_ = done;
         });
 }
--- a/tests/fakes/agent_world.cpp
+++ b/tests/fakes/agent_world.cpp
@@ -301,7 +301,7 @@
         return;
     }
     active_agent_ = slot.number;
-    slot.core->begin_seal(now_);
+    slot.core->begin_seal();
     advance_to(now_ + std::chrono::milliseconds(100));
     if (!slot.core->can_seal())
     {
--- a/tests/unit/agent_core_test.cpp
+++ b/tests/unit/agent_core_test.cpp
@@ -308,6 +308,41 @@
     BOOST_TEST(to_string(port.envelopes.back().to) == to_string(other));
 }
 
+BOOST_AUTO_TEST_CASE(a_planned_stop_finishes_what_runs_and_what_waits)
+{
+    for (std::uint16_t id = 1; id <= 3; ++id)
+    {
+        receive(request(coap_codes::get, id));
+    }
+    agent.begin_seal();
+    BOOST_TEST(!agent.can_seal());
+    for (std::uint16_t id = 1; id <= 3; ++id)
+    {
+        BOOST_TEST(!agent.can_seal());
+        answer_from_server(answer_to(request(coap_codes::get, id)));
+        BOOST_TEST(port.last_reply().payload == "answer to t" + std::to_string(id));
+    }
+    BOOST_TEST(agent.can_seal());
+    receive(request(coap_codes::get, 4));
+    BOOST_TEST(port.to_server.size() == 3U);
+
+    // The successor knows the answers, and serves once control has confirmed it.
+    agent_counters later_counters;
+    agent_core successor(agent_settings{}, 99, port, later_counters);
+    successor.restore(now, *decode_seal(encode_seal(agent.seal(now))));
+    BOOST_TEST(successor.is_unconfirmed());
+    subscriber_table table;
+    table.apply(state.collect_update(0, name));
+    successor.take_table(now, table, name, self);
+    envelope header;
+    header.flow = flow;
+    header.reply_to = balancer;
+    header.owner.member = self;
+    successor.receive_envelope(now, header, encode_coap(request(coap_codes::get, 2)));
+    BOOST_TEST(port.last_reply().payload == "answer to t2");
+    BOOST_TEST(port.to_server.size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(every_datagram_is_counted_once_as_something)
 {
     receive(request(coap_codes::get, 1));
