Status doesn't call a loss safe that it has not noticed yet

Cause: for up to 300 ms after a control instance was lost with its disk, its last reply still counted as a sign of life, and 'status' said that losing another was safe; the script then killed a second one and two of three disks were gone. Ruled out: the replacement itself (no identity had been added yet). Now a lost connection makes the leader forget the slot's identity until it says hello again, and a hello is answered with one.

--- a/modules/carawayshelf_consensus/voter_renewal.cpp
+++ b/modules/carawayshelf_consensus/voter_renewal.cpp
@@ -38,6 +38,11 @@
     identities_[slot] = identity;
 }
 
+void voter_renewal::forget(instance_slot slot)
+{
+    identities_.erase(slot);
+}
+
 instance_id voter_renewal::identity_of(instance_slot slot) const
 {
     const auto known = identities_.find(slot);
--- a/modules/carawayshelf_consensus/voter_renewal.hpp
+++ b/modules/carawayshelf_consensus/voter_renewal.hpp
@@ -29,6 +29,9 @@
     /** An instance has told which identity its slot has now. */
     void hear(instance_slot slot, instance_id identity);
 
+    /** The instance of a slot can't be reached; it counts as lost until it is heard of again. */
+    void forget(instance_slot slot);
+
     /** Proposes the next step, if one is due. Returns whether it did. */
     bool renew(time_point now, consensus_core& core);
 
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -150,6 +150,7 @@
         if (peer.connection == connection)
         {
             peer.connection = nullptr;
+            renewal_.forget(static_cast<instance_slot>(&peer - peers_.data() + 1));
             fail_forwarded([&connection](const pending_request& request)
                            { return request.via == connection; },
                            "the leader was lost before it answered");
@@ -169,6 +170,13 @@
     if (received.hello)
     {
         handle_hello(*received.hello);
+        const bool is_own_link = std::any_of(peers_.begin(), peers_.end(),
+                                             [&connection](const peer_link& peer)
+                                             { return peer.connection == connection; });
+        if (!is_own_link)
+        {
+            send_hello(connection);
+        }
     }
     if (received.digest)
     {
