Catalogue: a whole traffic configuration as one change; packet members; slots may be addresses

The platform's operators replace the whole configuration; the highest version wins, other content under a held version is refused, and what was sent is kept byte by byte. Routes split new flows by weight, and remember the services that got flows before. Members carry the protocol of their flows; a silent member whose backend server owns its flows is kept. Identities of control instances hold an address in their upper half where instances find each other.

--- a/modules/carawayshelf_admission/agent_counters.hpp
+++ b/modules/carawayshelf_admission/agent_counters.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "carawayshelf_core/counter_set.hpp"
 #include "carawayshelf_core/name_table.hpp"
 
-#include <array>
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
@@ -67,35 +67,6 @@
      "answered_from_memory", "echo_asked", "outcome_unknown", "reset_sent", "feed_ended",
      "queued"}};
 
-/** Counters of one enumeration; written by one thread, read by any. */
-template <typename Enum, std::size_t Count>
-class counter_set
-{
-public:
-    void add(Enum reason)
-    {
-        values_[static_cast<std::size_t>(reason)].fetch_add(1, std::memory_order_relaxed);
-    }
-
-    std::uint64_t get(Enum reason) const
-    {
-        return values_[static_cast<std::size_t>(reason)].load(std::memory_order_relaxed);
-    }
-
-    std::uint64_t total() const
-    {
-        std::uint64_t sum = 0;
-        for (const std::atomic<std::uint64_t>& value : values_)
-        {
-            sum += value.load(std::memory_order_relaxed);
-        }
-        return sum;
-    }
-
-private:
-    std::array<std::atomic<std::uint64_t>, Count> values_{};
-};
-
 /** Everything an agent counts. Each datagram that arrives in an envelope is counted once as
     received, and once as relayed, answered, passed on or dropped. Thread-safe to read. */
 struct agent_counters
--- a/modules/carawayshelf_catalogue/carawayshelf_catalogue.hpp
+++ b/modules/carawayshelf_catalogue/carawayshelf_catalogue.hpp
@@ -14,3 +14,4 @@
 #include "carawayshelf_catalogue/service_entry.hpp"
 #include "carawayshelf_catalogue/subscriber_table.hpp"
 #include "carawayshelf_catalogue/table_update.hpp"
+#include "carawayshelf_catalogue/traffic_configuration.hpp"
--- a/modules/carawayshelf_catalogue/change.hpp
+++ b/modules/carawayshelf_catalogue/change.hpp
@@ -2,6 +2,7 @@
 
 #include "carawayshelf_catalogue/member.hpp"
 #include "carawayshelf_catalogue/service_entry.hpp"
+#include "carawayshelf_catalogue/traffic_configuration.hpp"
 #include "carawayshelf_core/error.hpp"
 
 #include <cstdint>
@@ -46,6 +47,9 @@
     std::uint64_t expected_version = 0;
     std::string domain;
     bool out = false;
+    /** An order to be carried out whatever the version is, and also for a failure domain without
+        members. */
+    bool is_unconditional = false;
 };
 
 /** An agent announces its backend server. Repeating an epoch returns the member made first. */
@@ -56,6 +60,8 @@
     std::string service;
     endpoint data;
     std::uint64_t epoch = 0;
+    flow_protocol protocol = flow_protocol::coap;
+    member_state state = member_state::cold;
 };
 
 /** The state of a member's backend server has changed. */
@@ -85,9 +91,16 @@
     std::vector<released_bucket> buckets;
 };
 
+/** Replaces the whole traffic configuration if its version is higher than the one in force. */
+struct replace_configuration
+{
+    traffic_configuration configuration;
+};
+
 /** One change of the replicated state. */
-using change = std::variant<put_service, remove_service, mark_domain, announce_member,
-                            set_member_state, retire_member, release_buckets>;
+using change =
+    std::variant<put_service, remove_service, mark_domain, announce_member, set_member_state,
+                 retire_member, release_buckets, replace_configuration>;
 
 /** Outcome of a change; a resend of an operator's edit gets the first outcome again. */
 struct change_result
--- a/modules/carawayshelf_catalogue/cluster_state.cpp
+++ b/modules/carawayshelf_catalogue/cluster_state.cpp
@@ -27,6 +27,7 @@
     case member_state::warm:
         return warm_weight;
     case member_state::draining:
+    case member_state::silent:
         return 0;
     }
     return 0;
@@ -108,12 +109,7 @@
     const std::vector<std::string> faults = find_entry_faults(edit.entry);
     if (!faults.empty())
     {
-        std::string all = faults.front();
-        for (std::size_t i = 1; i < faults.size(); ++i)
-        {
-            all += "\n" + faults[i];
-        }
-        return refuse(error_kind::invalid_entry, all);
+        return refuse(error_kind::invalid_entry, join_faults(faults));
     }
     const service_state* existing = find_service(edit.entry.name);
     const std::uint64_t current = version_of(edit.entry.name);
@@ -187,7 +183,7 @@
     const bool has_members = std::any_of(data_.members.begin(), data_.members.end(),
                                          [&edit](const std::pair<const member_id, member>& item)
                                          { return item.second.domain == edit.domain; });
-    if (!has_members && data_.domains.count(edit.domain) == 0)
+    if (!has_members && !edit.is_unconditional && data_.domains.count(edit.domain) == 0)
     {
         return refuse(error_kind::unknown_domain,
                       "no member is in failure domain '" + edit.domain + "'");
@@ -197,7 +193,7 @@
     {
         return accept(domain.changed_at, domain.changed_at);
     }
-    if (domain.changed_at != edit.expected_version)
+    if (!edit.is_unconditional && domain.changed_at != edit.expected_version)
     {
         return refuse(error_kind::version_conflict,
                       "failure domain '" + edit.domain + "' is at version " +
@@ -248,6 +244,8 @@
     added.service = edit.service;
     added.data = edit.data;
     added.epoch = edit.epoch;
+    added.protocol = edit.protocol;
+    added.state = edit.state;
     added.tenure_from = now;
     added.changed_at = now;
     data_.members[added.id] = added;
@@ -325,6 +323,58 @@
     return accept(changed ? now : 0);
 }
 
+change_result cluster_state::apply_edit(generation now, const replace_configuration& edit)
+{
+    const std::vector<std::string> faults = find_configuration_faults(edit.configuration);
+    if (!faults.empty())
+    {
+        return refuse(error_kind::invalid_entry, join_faults(faults));
+    }
+    const std::uint64_t current = data_.configuration.version;
+    const bool is_first = data_.configuration_changed_at == 0;
+    if (!is_first && edit.configuration.version == current &&
+        edit.configuration.content != data_.configuration.content)
+    {
+        return refuse(error_kind::version_conflict,
+                      "version " + std::to_string(current) +
+                          " is held with other content: read it, then send a higher version",
+                      current);
+    }
+    if (!is_first && edit.configuration.version <= current)
+    {
+        return accept(data_.configuration_changed_at, current);
+    }
+    note_earlier_services(edit.configuration);
+    data_.configuration = edit.configuration;
+    data_.configuration_changed_at = now;
+    return accept(now, edit.configuration.version);
+}
+
+void cluster_state::note_earlier_services(const traffic_configuration& next)
+{
+    earlier_services kept;
+    for (const traffic_route& route : next.routes)
+    {
+        const auto before = std::find_if(
+            data_.configuration.routes.begin(), data_.configuration.routes.end(),
+            [&route](const traffic_route& item) { return item.address == route.address; });
+        if (before == data_.configuration.routes.end())
+        {
+            continue;
+        }
+        std::vector<std::string> names = std::move(data_.earlier[route.address]);
+        for (const service_share& share : before->shares)
+        {
+            if (std::find(names.begin(), names.end(), share.service) == names.end())
+            {
+                names.push_back(share.service);
+            }
+        }
+        kept[route.address] = std::move(names);
+    }
+    data_.earlier = std::move(kept);
+}
+
 void cluster_state::reassign(generation now, const std::string& service)
 {
     const auto found = data_.services.find(service);
@@ -418,6 +468,14 @@
             update.removed_members.push_back(removed.second);
         }
     }
+    if (data_.configuration_changed_at > from)
+    {
+        std::shared_ptr<traffic_rules> rules = std::make_shared<traffic_rules>();
+        rules->configuration = data_.configuration;
+        rules->configuration.content.clear();
+        rules->earlier = data_.earlier;
+        update.rules = std::move(rules);
+    }
     for (const auto& [name, domain] : data_.domains)
     {
         if (domain.out)
--- a/modules/carawayshelf_catalogue/cluster_state.hpp
+++ b/modules/carawayshelf_catalogue/cluster_state.hpp
@@ -54,6 +54,9 @@
         std::deque<std::pair<generation, service_id>> removed_services;
         std::deque<std::pair<generation, member_id>> removed_members;
         std::deque<std::pair<change_id, change_result>> answers; ///< Oldest first.
+        traffic_configuration configuration;
+        generation configuration_changed_at = 0; ///< Zero before the first configuration.
+        earlier_services earlier;
     };
 
     cluster_state() = default;
@@ -87,8 +90,10 @@
     change_result apply_edit(generation now, const set_member_state& edit);
     change_result apply_edit(generation now, const retire_member& edit);
     change_result apply_edit(generation now, const release_buckets& edit);
+    change_result apply_edit(generation now, const replace_configuration& edit);
 
     change_result check_put(const put_service& edit) const;
+    void note_earlier_services(const traffic_configuration& next);
     void reassign(generation now, const std::string& service);
     void remember_answer(change_id id, const change_result& result);
     void forget_old_removals();
--- a/modules/carawayshelf_catalogue/member.hpp
+++ b/modules/carawayshelf_catalogue/member.hpp
@@ -12,12 +12,23 @@
 /** Condition of a member's backend server, as its agent reports it. */
 enum class member_state
 {
-    cold,    ///< Just started; gets a small share of new flows.
-    warm,    ///< Gets its full share of new flows.
-    draining ///< Leaves; gets no new flows and keeps its established ones.
+    cold,     ///< Just started; gets a small share of new flows.
+    warm,     ///< Gets its full share of new flows.
+    draining, ///< Leaves; gets no new flows and keeps its established ones.
+    silent    ///< Not heard of for a lease; gets no new flows but may still hold some.
 };
 
-inline constexpr name_table<member_state, 3> member_state_names{{"cold", "warm", "draining"}};
+inline constexpr name_table<member_state, 4> member_state_names{
+    {"cold", "warm", "draining", "silent"}};
+
+/** What the flows of a member's backend server carry. */
+enum class flow_protocol : std::uint8_t
+{
+    coap,   ///< The agent owns flows and requests; see agent_core.
+    packets ///< The backend server owns its flows; see packet_agent.
+};
+
+inline constexpr name_table<flow_protocol, 2> flow_protocol_names{{"coap", "packets"}};
 
 /** One incarnation of an agent with its backend server. */
 struct member
@@ -29,6 +40,7 @@
     endpoint data;       ///< Where it receives envelopes.
     std::uint64_t epoch = 0;
     member_state state = member_state::cold;
+    flow_protocol protocol = flow_protocol::coap;
     /** Generation that last put its failure domain in service. Flows that the agent adopted before
         are void, since others may serve them now. */
     generation tenure_from = 0;
--- a/modules/carawayshelf_catalogue/subscriber_table.cpp
+++ b/modules/carawayshelf_catalogue/subscriber_table.cpp
@@ -39,6 +39,10 @@
             held.rows[row.bucket] = row.row;
         }
     }
+    if (update.rules)
+    {
+        rules_ = update.rules;
+    }
     domains_out_ = std::set<std::string>(update.domains_out.begin(), update.domains_out.end());
     return true;
 }
--- a/modules/carawayshelf_catalogue/subscriber_table.hpp
+++ b/modules/carawayshelf_catalogue/subscriber_table.hpp
@@ -37,6 +37,11 @@
         return domains_out_.count(domain) != 0;
     }
 
+    const std::set<std::string>& domains_out() const
+    {
+        return domains_out_;
+    }
+
     generation held() const
     {
         return held_;
@@ -47,6 +52,12 @@
         return services_;
     }
 
+    /** The traffic configuration, or nullptr before one was received. */
+    const std::shared_ptr<const traffic_rules>& rules() const
+    {
+        return rules_;
+    }
+
     const std::map<member_id, member>& members() const
     {
         return members_;
@@ -57,6 +68,7 @@
     std::map<service_id, service> services_;
     std::map<member_id, member> members_;
     std::set<std::string> domains_out_;
+    std::shared_ptr<const traffic_rules> rules_;
 };
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_catalogue/table_update.hpp
+++ b/modules/carawayshelf_catalogue/table_update.hpp
@@ -2,9 +2,12 @@
 
 #include "carawayshelf_catalogue/member.hpp"
 #include "carawayshelf_catalogue/service_entry.hpp"
+#include "carawayshelf_catalogue/traffic_configuration.hpp"
 #include "carawayshelf_steering/bucket_row.hpp"
 
 #include <cstdint>
+#include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -26,6 +29,16 @@
     std::vector<numbered_row> rows;
 };
 
+/** Services that got new flows of a route before, while the route stood. */
+using earlier_services = std::map<endpoint, std::vector<std::string>>;
+
+/** The traffic configuration as daemons need it: without the operator's bytes. */
+struct traffic_rules
+{
+    traffic_configuration configuration;
+    earlier_services earlier;
+};
+
 /** What a subscriber lacks: from its own generation to a newer one. */
 struct table_update
 {
@@ -35,7 +48,8 @@
     std::vector<member> members;
     std::vector<service_id> removed_services;
     std::vector<member_id> removed_members;
-    std::vector<std::string> domains_out; ///< All of them, each time.
+    std::vector<std::string> domains_out;       ///< All of them, each time.
+    std::shared_ptr<const traffic_rules> rules; ///< Only when they changed.
 };
 
 } // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_catalogue/traffic_configuration.cpp
@@ -0,0 +1,75 @@
+#include "carawayshelf_catalogue/traffic_configuration.hpp"
+
+#include <map>
+#include <set>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+void check_shares(const traffic_route& route, const std::set<std::string>& services,
+                  std::vector<std::string>& faults)
+{
+    const std::string where = "route '" + route.name + "': ";
+    std::uint64_t total = 0;
+    for (const service_share& share : route.shares)
+    {
+        total += share.weight;
+        if (services.count(share.service) == 0)
+        {
+            faults.push_back(where + "service '" + share.service +
+                             "' is unknown: add it to the services or correct the name");
+        }
+    }
+    if (total == 0)
+    {
+        faults.push_back(where + "no service gets a share: give one a weight above 0");
+    }
+}
+
+} // namespace
+
+std::vector<std::string> find_configuration_faults(const traffic_configuration& configuration)
+{
+    std::vector<std::string> faults;
+    std::set<std::string> services;
+    for (const service_rules& service : configuration.services)
+    {
+        if (!services.insert(service.name).second)
+        {
+            faults.push_back("service '" + service.name + "' is there twice: remove one");
+        }
+    }
+    std::map<endpoint, std::string> holders;
+    for (const traffic_route& route : configuration.routes)
+    {
+        const auto [held, is_new] = holders.emplace(route.address, route.name);
+        if (!is_new)
+        {
+            faults.push_back("route '" + route.name + "': address " + to_string(route.address) +
+                             " belongs to route '" + held->second + "': choose another");
+        }
+        if (route.timeout_ms == 0)
+        {
+            faults.push_back("route '" + route.name +
+                             "': timeout is 0: give at least 1 millisecond");
+        }
+        check_shares(route, services, faults);
+    }
+    return faults;
+}
+
+std::string join_faults(const std::vector<std::string>& faults)
+{
+    std::string all;
+    for (const std::string& fault : faults)
+    {
+        all += all.empty() ? "" : "\n";
+        all += fault;
+    }
+    return all;
+}
+
+} // namespace carawayshelf
--- a/modules/carawayshelf_consensus/consensus_core.cpp
+++ b/modules/carawayshelf_consensus/consensus_core.cpp
@@ -45,6 +45,12 @@
     return std::find(voters.begin(), voters.end(), identity_) != voters.end();
 }
 
+bool consensus_core::is_in_touch(time_point now) const
+{
+    return role_ == consensus_role::leader ? is_quorum(live_voters(now).size())
+                                           : has_recent_leader(now);
+}
+
 log_index consensus_core::match_of(instance_id follower) const
 {
     const auto found = followers_.find(follower);
--- a/modules/carawayshelf_consensus/consensus_core.hpp
+++ b/modules/carawayshelf_consensus/consensus_core.hpp
@@ -140,6 +140,10 @@
 
     bool is_voter() const;
 
+    /** Whether a leader that a quorum hears is known: this instance, or one that it heard from
+        within the election timeout. */
+    bool is_in_touch(time_point now) const;
+
     /** Last record that a follower is known to hold; zero when unknown. Only for the leader. */
     log_index match_of(instance_id follower) const;
 
--- a/modules/carawayshelf_consensus/voter_renewal.cpp
+++ b/modules/carawayshelf_consensus/voter_renewal.cpp
@@ -8,9 +8,16 @@
 namespace
 {
 
-constexpr unsigned slot_shift = 48;
+constexpr unsigned slot_shift = 32;
 constexpr log_index caught_up_within = 100;
 
+/** A voter that is not heard for this long may give way to another: longer than a restart, so that
+    a short absence changes nothing. */
+constexpr duration lost_for = std::chrono::seconds(6);
+
+/** Voters that remain when a lost one is removed; three bear the loss of one. */
+constexpr std::size_t fewest_voters = 3;
+
 bool contains(const std::vector<instance_id>& voters, instance_id identity)
 {
     return std::find(voters.begin(), voters.end(), identity) != voters.end();
@@ -29,6 +36,11 @@
     return (static_cast<std::uint64_t>(slot) << slot_shift) | low;
 }
 
+instance_id first_identity(instance_slot slot)
+{
+    return make_identity(slot, 1);
+}
+
 voter_renewal::voter_renewal(std::size_t slots) : slots_(slots)
 {
 }
@@ -80,7 +92,50 @@
             }
         }
     }
-    return false;
+    return slots_ == 0 && remove_lost(now, core);
+}
+
+std::vector<instance_slot> voter_renewal::slots() const
+{
+    std::vector<instance_slot> all;
+    for (const auto& [slot, identity] : identities_)
+    {
+        all.push_back(slot);
+    }
+    return all;
+}
+
+bool voter_renewal::is_long_lost(time_point now, const consensus_core& core, instance_id voter)
+{
+    const std::vector<instance_id> live = core.live_voters(now);
+    if (contains(live, voter))
+    {
+        lost_since_.erase(voter);
+        return false;
+    }
+    return now - lost_since_.emplace(voter, now).first->second >= lost_for;
+}
+
+bool voter_renewal::remove_lost(time_point now, consensus_core& core)
+{
+    const std::vector<instance_id> voters = core.log().voters();
+    instance_id lost = 0;
+    std::size_t lost_count = 0;
+    for (const instance_id voter : voters)
+    {
+        if (is_long_lost(now, core, voter))
+        {
+            lost = voter;
+            ++lost_count;
+        }
+    }
+    if (lost == 0 || voters.size() - lost_count < fewest_voters)
+    {
+        return false;
+    }
+    std::vector<instance_id> fewer = voters;
+    fewer.erase(std::find(fewer.begin(), fewer.end(), lost));
+    return core.propose_voters(now, fewer);
 }
 
 bool voter_renewal::is_safe_to_lose_one(time_point now, const consensus_core& core) const
--- a/modules/carawayshelf_consensus/voter_renewal.hpp
+++ b/modules/carawayshelf_consensus/voter_renewal.hpp
@@ -4,12 +4,14 @@
 
 #include <cstdint>
 #include <map>
+#include <vector>
 
 namespace carawayshelf
 {
 
-/** Place of a control instance among its peers, from 1. */
-using instance_slot = std::uint16_t;
+/** Place of a control instance among its peers: a number from 1 where the settings list all of
+    them, and the IPv4 address where they find each other. */
+using instance_slot = std::uint32_t;
 
 /** Slot that an identity was minted for. Thread-safe. */
 instance_slot slot_of(instance_id identity);
@@ -17,13 +19,17 @@
 /** Makes an identity for a slot out of random bits. Thread-safe. */
 instance_id make_identity(instance_slot slot, std::uint64_t random);
 
+/** Identity of a slot at the first start of a whole cluster, which all instances can tell. */
+instance_id first_identity(instance_slot slot);
+
 /** Decides at the leader who votes: an instance that is new in its slot learns first, votes once it
     has caught up, and only then the identity that its slot had before is removed. So a lost disk is
     replaced without ever counting on what was lost. Not thread-safe; no I/O. */
 class voter_renewal
 {
 public:
-    /** @param slots  how many control instances there should be */
+    /** @param slots  how many control instances there should be; 0 where they find each other: then
+            a voter that is silent for long gives way once the others are enough without it */
     explicit voter_renewal(std::size_t slots);
 
     /** An instance has told which identity its slot has now. */
@@ -32,6 +38,9 @@
     /** The instance of a slot can't be reached; it counts as lost until it is heard of again. */
     void forget(instance_slot slot);
 
+    /** Slots of the instances that can be reached. */
+    std::vector<instance_slot> slots() const;
+
     /** Proposes the next step, if one is due. Returns whether it did. */
     bool renew(time_point now, consensus_core& core);
 
@@ -43,7 +52,11 @@
     instance_id identity_of(instance_slot slot) const;
 
 private:
+    bool is_long_lost(time_point now, const consensus_core& core, instance_id voter);
+    bool remove_lost(time_point now, consensus_core& core);
+
     std::size_t slots_;
+    std::map<instance_id, time_point> lost_since_; ///< Voters that the leader doesn't hear.
     std::map<instance_slot, instance_id> identities_;
 };
 
--- a/modules/carawayshelf_core/carawayshelf_core.hpp
+++ b/modules/carawayshelf_core/carawayshelf_core.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "carawayshelf_core/clock_time.hpp"
+#include "carawayshelf_core/counter_set.hpp"
 #include "carawayshelf_core/endpoint.hpp"
 #include "carawayshelf_core/error.hpp"
 #include "carawayshelf_core/identifiers.hpp"
--- /dev/null
+++ b/modules/carawayshelf_core/counter_set.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+
+namespace carawayshelf
+{
+
+/** Counters of one enumeration; written by one thread, read by any. */
+template <typename Enum, std::size_t Count>
+class counter_set
+{
+public:
+    void add(Enum reason)
+    {
+        values_[static_cast<std::size_t>(reason)].fetch_add(1, std::memory_order_relaxed);
+    }
+
+    std::uint64_t get(Enum reason) const
+    {
+        return values_[static_cast<std::size_t>(reason)].load(std::memory_order_relaxed);
+    }
+
+    std::uint64_t total() const
+    {
+        std::uint64_t sum = 0;
+        for (const std::atomic<std::uint64_t>& value : values_)
+        {
+            sum += value.load(std::memory_order_relaxed);
+        }
+        return sum;
+    }
+
+private:
+    std::array<std::atomic<std::uint64_t>, Count> values_{};
+};
+
+} // namespace carawayshelf
--- a/modules/carawayshelf_steering/carawayshelf_steering.hpp
+++ b/modules/carawayshelf_steering/carawayshelf_steering.hpp
@@ -13,5 +13,6 @@
 #include "carawayshelf_steering/bucket_row.hpp"
 #include "carawayshelf_steering/earlier_owners.hpp"
 #include "carawayshelf_steering/flow_key.hpp"
+#include "carawayshelf_steering/packet_flow.hpp"
 #include "carawayshelf_steering/routing_table.hpp"
 #include "carawayshelf_steering/steering_rules.hpp"
--- /dev/null
+++ b/modules/carawayshelf_steering/packet_flow.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "carawayshelf_core/endpoint.hpp"
+
+#include <cstdint>
+
+namespace carawayshelf
+{
+
+/** Both ends of a flow of packets, as the client sees them. */
+struct packet_flow
+{
+    endpoint client;
+    endpoint service;
+};
+
+inline bool operator==(const packet_flow& a, const packet_flow& b)
+{
+    return a.client == b.client && a.service == b.service;
+}
+
+/** Hash of a flow; the same in every process. Thread-safe. */
+std::uint64_t hash_flow(const packet_flow& flow);
+
+/** Rank of a holder for a flow, by rendezvous hashing: the order of the others stays as it is when
+    one joins or leaves. Thread-safe.
+
+    Source: D. Thaler, C. Ravishankar, "Using name-based mappings to increase hit rates", 1998. */
+std::uint64_t rank_holder(std::uint64_t flow_hash, const endpoint& holder);
+
+/** For unordered containers. */
+struct packet_flow_hasher
+{
+    std::size_t operator()(const packet_flow& flow) const noexcept
+    {
+        return static_cast<std::size_t>(hash_flow(flow));
+    }
+};
+
+} // namespace carawayshelf
--- a/modules/carawayshelf_wire/carawayshelf_wire.hpp
+++ b/modules/carawayshelf_wire/carawayshelf_wire.hpp
@@ -12,4 +12,5 @@
 #include "carawayshelf_wire/coap_message.hpp"
 #include "carawayshelf_wire/envelope.hpp"
 #include "carawayshelf_wire/frame_codec.hpp"
+#include "carawayshelf_wire/packet_envelope.hpp"
 #include "carawayshelf_wire/state_codec.hpp"
--- /dev/null
+++ b/modules/carawayshelf_wire/packet_envelope.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "carawayshelf_core/identifiers.hpp"
+#include "carawayshelf_core/name_table.hpp"
+#include "carawayshelf_steering/packet_flow.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace carawayshelf
+{
+
+/** What a datagram between packet balancers and packet agents is for. */
+enum class packet_envelope_kind : std::uint8_t
+{
+    packet,  ///< Carries a client's packet.
+    holder,  ///< Tells a balancer which agent holds a flow.
+    load,    ///< Tells a balancer how loaded an agent's backend server is.
+    watching ///< A balancer asks an agent for its load reports.
+};
+
+inline constexpr name_table<packet_envelope_kind, 4> packet_envelope_kind_names{
+    {"packet", "holder", "load", "watching"}};
+
+/** Agents that one packet visits at most: those of the largest service with room to spare. */
+constexpr std::size_t max_candidates = 24;
+
+/** Bits of packet_envelope::flags in a load report. */
+constexpr std::uint8_t load_flag_closed = 1; ///< Takes no new flow.
+constexpr std::uint8_t load_flag_cold = 2;   ///< Takes few new flows.
+
+/** Load reports count in parts of one request under way. */
+constexpr std::uint16_t load_unit = 64;
+
+/** Header of a datagram between packet balancers and packet agents. */
+struct packet_envelope
+{
+    packet_envelope_kind kind = packet_envelope_kind::packet;
+    generation held = 0; ///< Newest table that a sender on the way held.
+    endpoint balancer;   ///< The balancer that took the packet, or that is told something.
+    packet_flow flow;    ///< For holder.
+    std::uint16_t load = 0;
+    std::uint8_t flags = 0;
+    std::uint8_t position = 0; ///< Candidates before this one have returned the packet.
+    std::uint8_t candidate_count = 0;
+    std::array<endpoint, max_candidates> candidates{}; ///< Agents to visit, in this order.
+
+    /** Adds a candidate. Returns false when there is no room. */
+    bool add_candidate(const endpoint& agent);
+
+    bool has_candidate(const endpoint& agent) const;
+};
+
+/** Longest header. */
+constexpr std::size_t max_packet_envelope_bytes = 256;
+
+/** Writes the header. Returns its length. Precondition: max_packet_envelope_bytes of room. */
+std::size_t encode_packet_envelope(const packet_envelope& value, std::uint8_t* buffer);
+
+/** Reads the header and its length. Returns false for anything malformed. */
+bool decode_packet_envelope(const std::uint8_t* data, std::size_t size, packet_envelope& value,
+                            std::size_t& header_size);
+
+} // namespace carawayshelf
--- a/modules/carawayshelf_wire/state_codec.cpp
+++ b/modules/carawayshelf_wire/state_codec.cpp
@@ -84,6 +84,93 @@
     return value;
 }
 
+std::unique_ptr<buffers::traffic_route_object> pack_route(const traffic_route& value,
+                                                          const earlier_services& earlier)
+{
+    std::unique_ptr<buffers::traffic_route_object> packed =
+        std::make_unique<buffers::traffic_route_object>();
+    packed->name = value.name;
+    packed->address = value.address.address;
+    packed->port = value.address.port;
+    packed->requests = static_cast<std::uint8_t>(value.requests);
+    packed->timeout_ms = value.timeout_ms;
+    packed->target_latency_ms = value.target_latency_ms;
+    packed->priority = value.priority;
+    for (const service_share& share : value.shares)
+    {
+        packed->shares.push_back(std::make_unique<buffers::service_share_object>());
+        packed->shares.back()->service = share.service;
+        packed->shares.back()->weight = share.weight;
+    }
+    const auto found = earlier.find(value.address);
+    if (found != earlier.end())
+    {
+        packed->earlier = found->second;
+    }
+    return packed;
+}
+
+traffic_route unpack_route(const buffers::traffic_route_object& packed)
+{
+    traffic_route value;
+    value.name = packed.name;
+    value.address = {packed.address, packed.port};
+    value.requests = checked(request_class_names, packed.requests);
+    value.timeout_ms = packed.timeout_ms;
+    value.target_latency_ms = packed.target_latency_ms;
+    value.priority = packed.priority;
+    for (const std::unique_ptr<buffers::service_share_object>& share : packed.shares)
+    {
+        value.shares.push_back({share->service, share->weight});
+    }
+    return value;
+}
+
+std::unique_ptr<buffers::traffic_configuration_object>
+pack_configuration(const traffic_configuration& value, const earlier_services& earlier)
+{
+    std::unique_ptr<buffers::traffic_configuration_object> packed =
+        std::make_unique<buffers::traffic_configuration_object>();
+    packed->version = value.version;
+    packed->idle_timeout_ms = value.idle_timeout_ms;
+    packed->content.assign(value.content.begin(), value.content.end());
+    for (const traffic_route& route : value.routes)
+    {
+        packed->routes.push_back(pack_route(route, earlier));
+    }
+    for (const service_rules& service : value.services)
+    {
+        packed->services.push_back(std::make_unique<buffers::service_rules_object>());
+        packed->services.back()->name = service.name;
+        packed->services.back()->max_flows = service.max_flows;
+        packed->services.back()->cold_requests_per_s = service.cold_requests_per_s;
+    }
+    return packed;
+}
+
+traffic_rules unpack_configuration(const buffers::traffic_configuration_object& packed)
+{
+    traffic_rules value;
+    traffic_configuration& configuration = value.configuration;
+    configuration.version = packed.version;
+    configuration.idle_timeout_ms = packed.idle_timeout_ms;
+    configuration.content.assign(packed.content.begin(), packed.content.end());
+    for (const std::unique_ptr<buffers::traffic_route_object>& route : packed.routes)
+    {
+        configuration.routes.push_back(unpack_route(*route));
+        if (!route->earlier.empty())
+        {
+            value.earlier[configuration.routes.back().address] = route->earlier;
+        }
+    }
+    for (const std::unique_ptr<buffers::service_rules_object>& service : packed.services)
+    {
+        configuration.services.push_back(
+            {service->name, service->max_flows, service->cold_requests_per_s});
+    }
+    return value;
+}
+
 /** Writes each kind of change into the one table that holds them all. */
 struct change_packer
 {
@@ -112,6 +199,7 @@
         packed.expected_version = value.expected_version;
         packed.name = value.domain;
         packed.out = value.out;
+        packed.unconditional = value.is_unconditional;
     }
 
     void operator()(const announce_member& value) const
@@ -122,6 +210,8 @@
         announced.service = value.service;
         announced.data = value.data;
         announced.epoch = value.epoch;
+        announced.protocol = value.protocol;
+        announced.state = value.state;
         packed.announced = pack_member(announced);
     }
 
@@ -144,6 +234,11 @@
             packed.released.emplace_back(bucket.reported_at, bucket.bucket);
         }
     }
+
+    void operator()(const replace_configuration& value) const
+    {
+        packed.configuration = pack_configuration(value.configuration, {});
+    }
 };
 
 std::optional<change> unpack_announce(const buffers::change_object& packed)
@@ -153,8 +248,8 @@
         return std::nullopt;
     }
     const member announced = unpack_member(*packed.announced);
-    return announce_member{announced.name, announced.domain, announced.service, announced.data,
-                           announced.epoch};
+    return announce_member{announced.name,  announced.domain,   announced.service, announced.data,
+                           announced.epoch, announced.protocol, announced.state};
 }
 
 release_buckets unpack_release(const buffers::change_object& packed)
@@ -180,7 +275,7 @@
 
 std::optional<change> unpack_change(const buffers::change_object& packed)
 {
-    static_assert(max_kind == 7, "a new kind of change must be read here too");
+    static_assert(max_kind == 8, "a new kind of change must be read here too");
     switch (packed.kind)
     {
     case 0:
@@ -194,8 +289,8 @@
         return remove_service{packed.id, packed.operator_name, packed.expected_version,
                               packed.name};
     case 2:
-        return mark_domain{packed.id, packed.operator_name, packed.expected_version, packed.name,
-                           packed.out};
+        return mark_domain{packed.id,   packed.operator_name, packed.expected_version,
+                           packed.name, packed.out,           packed.unconditional};
     case 3:
         return unpack_announce(packed);
     case 4:
@@ -204,6 +299,11 @@
         return retire_member{packed.member_id};
     case 6:
         return unpack_release(packed);
+    case 7:
+        return packed.configuration
+                   ? std::optional<change>(replace_configuration{
+                         unpack_configuration(*packed.configuration).configuration})
+                   : std::nullopt;
     default:
         return std::nullopt;
     }
@@ -245,6 +345,7 @@
     packed->state = static_cast<std::uint8_t>(value.state);
     packed->tenure_from = value.tenure_from;
     packed->changed_at = value.changed_at;
+    packed->protocol = static_cast<std::uint8_t>(value.protocol);
     return packed;
 }
 
@@ -260,6 +361,7 @@
     value.state = checked(member_state_names, packed.state);
     value.tenure_from = packed.tenure_from;
     value.changed_at = packed.changed_at;
+    value.protocol = checked(flow_protocol_names, packed.protocol);
     return value;
 }
 
@@ -333,6 +435,11 @@
     packed->removed_services = value.removed_services;
     packed->removed_members = value.removed_members;
     packed->domains_out = value.domains_out;
+    if (value.rules)
+    {
+        packed->configuration =
+            pack_configuration(value.rules->configuration, value.rules->earlier);
+    }
     return packed;
 }
 
@@ -367,6 +474,11 @@
     value.removed_services = packed.removed_services;
     value.removed_members = packed.removed_members;
     value.domains_out = packed.domains_out;
+    if (packed.configuration)
+    {
+        value.rules =
+            std::make_shared<const traffic_rules>(unpack_configuration(*packed.configuration));
+    }
     return value;
 }
 
@@ -429,6 +541,8 @@
         packed.answers.back()->id = known.first;
         packed.answers.back()->result = pack_result(known.second);
     }
+    packed.configuration = pack_configuration(data.configuration, data.earlier);
+    packed.configuration_changed_at = data.configuration_changed_at;
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(buffers::Createcluster_state(builder, &packed));
     return bytes_of(builder);
@@ -479,6 +593,13 @@
         data.answers.emplace_back(known->id,
                                   known->result ? unpack_result(*known->result) : change_result{});
     }
+    if (packed.configuration)
+    {
+        traffic_rules rules = unpack_configuration(*packed.configuration);
+        data.configuration = std::move(rules.configuration);
+        data.earlier = std::move(rules.earlier);
+    }
+    data.configuration_changed_at = packed.configuration_changed_at;
     return cluster_state(std::move(data));
 }
 
