--- /dev/null
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "carawayshelf_packets/cold_allowance.hpp"
+#include "carawayshelf_packets/packet_counters.hpp"
+#include "carawayshelf_packets/packet_format.hpp"
+#include "carawayshelf_packets/packet_port.hpp"
+#include "carawayshelf_packets/packet_table.hpp"
+#include "carawayshelf_packets/visit_ring.hpp"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace carawayshelf
+{
+
+/** What a backend server says of itself. */
+struct server_announcement
+{
+    std::string id;
+    std::string service;
+    std::uint64_t started_at = 0; ///< Start of this incarnation, in its own time.
+    std::uint64_t sequence = 0;   ///< Grows with each announcement of an incarnation.
+    bool is_draining = false;
+    duration cold_for{0}; ///< How much longer it bears only little.
+    std::uint32_t slots = 1;
+};
+
+/** The decisions of the agent beside a backend server whose flows are packets: the last gate for
+    new flows, the search for open ones, and resets. Not thread-safe; no I/O. */
+class packet_agent
+{
+public:
+    struct options
+    {
+        endpoint data; ///< Where balancers and other agents send to.
+        std::string domain;
+        std::string service; ///< What its backend server serves, from the settings.
+        duration announce_interval = std::chrono::seconds(1); ///< Of its backend server.
+        std::uint32_t queue_limit = 8; ///< Requests that its backend server queues.
+    };
+
+    packet_agent(const options& own, const packet_format& format, packet_port& port,
+                 packet_counters& counters);
+
+    /** Puts a new table in force. */
+    void set_table(time_point now, std::shared_ptr<const packet_table> table);
+
+    /** Control has confirmed that the table is the newest, as of now. */
+    void confirm_table(time_point now)
+    {
+        confirmed_ = now;
+    }
+
+    /** Takes an announcement in. Once it returns, what it says holds here. Returns false for one
+        that is older than what is known. */
+    bool take_announcement(time_point now, const server_announcement& announcement);
+
+    /** The backend server has left. Returns false when another one is known by now. */
+    bool take_departure(const std::string& id);
+
+    /** Takes a datagram from a balancer or an agent; the packet in it may be written to. */
+    void take_envelope(time_point now, const packet_envelope& envelope, char* packet,
+                       std::size_t size);
+
+    /** Takes a datagram from the backend server; it may be written to. */
+    void take_server_packet(time_point now, char* packet, std::size_t size);
+
+    /** Sends load reports and forgets old flows. Call every report_interval. */
+    void tick(time_point now);
+
+    /** Balancers place by reports that are at most this old. */
+    static constexpr duration report_interval = std::chrono::milliseconds(100);
+
+    std::size_t flow_count() const
+    {
+        return flows_.size();
+    }
+
+    double load() const
+    {
+        return static_cast<double>(busy_);
+    }
+
+private:
+    enum class flow_state : std::uint8_t
+    {
+        searching, ///< Given to the backend server, which may not hold it.
+        opening,   ///< The opening packet was given to the backend server.
+        open
+    };
+
+    struct flow
+    {
+        flow_state state = flow_state::searching;
+        bool is_busy = false;     ///< Counted as a request under way.
+        bool is_placed = false;   ///< Passed the gate here.
+        bool tell_holder = false; ///< The balancer expects it elsewhere.
+        bool client_finished = false;
+        bool server_finished = false;
+        endpoint balancer;
+        time_point used;
+    };
+
+    using flow_map = std::unordered_map<packet_flow, flow, packet_flow_hasher>;
+
+    void take_opening(time_point now, const packet_envelope& envelope, const packet_head& head,
+                      const packet_route& route, std::string_view bytes, char* packet);
+    void take_flow_packet(time_point now, const packet_envelope& envelope, const packet_head& head,
+                          const packet_route& route, std::string_view bytes, char* packet);
+    void take_returned(time_point now, const packet_head& head, std::string_view bytes,
+                       char* packet);
+    pass_reason check_gate(time_point now, const packet_envelope& envelope,
+                           const packet_route& route);
+    bool has_room(const packet_envelope& envelope) const;
+    bool is_cold(time_point now) const;
+    bool is_server_known(time_point now) const;
+    bool is_table_fresh(time_point now) const;
+    void deliver(const packet_envelope& envelope, std::string_view bytes, char* packet);
+    void pass_on(time_point now, packet_envelope envelope, const packet_head& head,
+                 const packet_route& route, std::string_view bytes, pass_reason why);
+    bool add_unvisited(packet_envelope& envelope, const packet_route& route, bool for_new) const;
+    void give_up(time_point now, const packet_flow& flow, const packet_head& head);
+    void tell_holder(const packet_flow& key, flow& item);
+    void set_busy(flow& item, bool busy);
+    void forget(flow_map::iterator item);
+    void report_load(time_point now);
+
+    options own_;
+    const packet_format& format_;
+    packet_port& port_;
+    packet_counters& counters_;
+    std::shared_ptr<const packet_table> table_;
+    time_point confirmed_;
+    flow_map flows_;
+    std::unordered_map<packet_flow, time_point, packet_flow_hasher> lost_flows_;
+    visit_ring visits_;
+    cold_allowance cold_;
+    std::unordered_map<endpoint, time_point> watchers_;
+    std::uint32_t busy_ = 0;
+
+    bool has_server_ = false;
+    server_announcement server_;
+    time_point announced_;
+    time_point cold_until_;
+    bool must_announce_anew_ = false; ///< Its failure domain has just come back.
+    std::string departed_id_;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -0,0 +1,198 @@
+#include "carawayshelf_packets/packet_balancer.hpp"
+
+#include <algorithm>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+/** Requests under way that a member of the own failure domain may have more than one of another
+    before the other is preferred: bytes between failure domains cost, and one way takes longer. */
+constexpr double foreign_domain_cost = 1.5;
+
+/** Added for members that bear little or are likely not to answer; above any load. */
+constexpr double cold_cost = 100.0;
+constexpr double suspect_cost = 1000.0;
+
+/** Candidates for a new flow: where the first can't take it, the others are asked in turn. */
+constexpr std::size_t most_placements = 4;
+
+} // namespace
+
+packet_balancer::packet_balancer(const options& own, const packet_format& format, packet_port& port,
+                                 packet_counters& counters)
+    : own_(own), format_(format), port_(port), counters_(counters), cache_(own.flow_cache_entries)
+{
+}
+
+void packet_balancer::take_packet(time_point now, const packet_table& table, bool is_fresh,
+                                  std::string_view bytes)
+{
+    ++counters_.received;
+    packet_head head;
+    if (!format_.decode(bytes, head))
+    {
+        counters_.drops.add(packet_drop::malformed);
+        return;
+    }
+    packet_envelope envelope;
+    envelope.held = table.held();
+    envelope.balancer = own_.data;
+    envelope.flow = {head.source, head.destination};
+    const packet_route* route = table.find_route(head.destination);
+    if (route == nullptr)
+    {
+        if (!is_fresh)
+        {
+            counters_.drops.add(packet_drop::no_route);
+        }
+        else if (!head.is_reset)
+        {
+            counters_.resets.add(packet_reset::no_route);
+            port_.send_reset(envelope.flow, reset_sequence(head));
+        }
+        return;
+    }
+    if (head.is_opening)
+    {
+        place(now, table, *route, head, envelope);
+    }
+    else
+    {
+        search(now, table, *route, envelope);
+    }
+    if (envelope.candidate_count == 0)
+    {
+        counters_.drops.add(packet_drop::no_member);
+        return;
+    }
+    ++counters_.relayed;
+    port_.send_envelope(envelope.candidates[0], envelope, bytes);
+}
+
+void packet_balancer::place(time_point now, const packet_table& table, const packet_route& route,
+                            const packet_head& head, packet_envelope& envelope)
+{
+    const std::uint64_t flow_hash = hash_flow(envelope.flow);
+    const bool is_copy = head.acknowledged != 0;
+    const endpoint known = is_copy ? cache_.find(flow_hash, now) : endpoint{};
+    if (!known.is_none() && !loads_.estimate(now, known).is_suspect)
+    {
+        envelope.add_candidate(known);
+    }
+    ranked_.clear();
+    rank_members(now, table.members_of(table.pick_service(route, flow_hash)), flow_hash, true);
+    if (ranked_.empty())
+    {
+        // The picked service has no member that takes new flows; another of the route's may.
+        for (const packet_share& share : route.shares)
+        {
+            if (share.weight != 0)
+            {
+                rank_members(now, table.members_of(share.service), flow_hash, true);
+            }
+        }
+    }
+    add_ranked(envelope, most_placements);
+    if (envelope.candidate_count != 0)
+    {
+        ++counters_.placed;
+        loads_.note_placed(envelope.candidates[0]);
+        cache_.put(flow_hash, envelope.candidates[0], now);
+    }
+}
+
+void packet_balancer::search(time_point now, const packet_table& table, const packet_route& route,
+                             packet_envelope& envelope)
+{
+    const std::uint64_t flow_hash = hash_flow(envelope.flow);
+    const endpoint known = cache_.find(flow_hash, now);
+    if (!known.is_none())
+    {
+        envelope.add_candidate(known);
+        return;
+    }
+    ++counters_.searched;
+    ranked_.clear();
+    for (const std::uint32_t service : route.services)
+    {
+        rank_members(now, table.members_of(service), flow_hash, false);
+    }
+    add_ranked(envelope, max_candidates);
+}
+
+void packet_balancer::rank_members(time_point now, const std::vector<packet_member>& members,
+                                   std::uint64_t flow_hash, bool for_new)
+{
+    for (const packet_member& who : members)
+    {
+        const load_estimate estimate = loads_.estimate(now, who.data);
+        if (for_new && (!who.takes_new || estimate.is_closed))
+        {
+            continue;
+        }
+        ranked_member ranked;
+        ranked.who = &who;
+        ranked.rank = rank_holder(flow_hash, who.data);
+        ranked.cost = for_new ? estimate.load : 0.0;
+        ranked.cost += who.domain == own_.domain ? 0.0 : foreign_domain_cost;
+        ranked.cost += for_new && estimate.is_cold ? cold_cost : 0.0;
+        ranked.cost += estimate.is_suspect || who.is_silent ? suspect_cost : 0.0;
+        ranked_.push_back(ranked);
+    }
+}
+
+void packet_balancer::add_ranked(packet_envelope& envelope, std::size_t most)
+{
+    std::sort(ranked_.begin(), ranked_.end(),
+              [](const ranked_member& a, const ranked_member& b)
+              { return a.cost != b.cost ? a.cost < b.cost : a.rank < b.rank; });
+    for (const ranked_member& ranked : ranked_)
+    {
+        if (envelope.candidate_count >= most)
+        {
+            return;
+        }
+        if (!envelope.has_candidate(ranked.who->data))
+        {
+            envelope.add_candidate(ranked.who->data);
+        }
+    }
+}
+
+void packet_balancer::take_envelope(time_point now, const packet_envelope& envelope,
+                                    const endpoint& sender)
+{
+    switch (envelope.kind)
+    {
+    case packet_envelope_kind::holder:
+        cache_.put(hash_flow(envelope.flow), sender, now);
+        return;
+    case packet_envelope_kind::load:
+        loads_.take_report(now, sender, static_cast<double>(envelope.load) / load_unit,
+                           (envelope.flags & load_flag_closed) != 0,
+                           (envelope.flags & load_flag_cold) != 0);
+        return;
+    case packet_envelope_kind::packet:
+    case packet_envelope_kind::watching:
+        counters_.drops.add(packet_drop::malformed);
+        return;
+    }
+}
+
+void packet_balancer::tick(time_point now, const packet_table& table)
+{
+    loads_.expire(now);
+    packet_envelope watching;
+    watching.kind = packet_envelope_kind::watching;
+    watching.held = table.held();
+    watching.balancer = own_.data;
+    for (const endpoint& agent : table.all_agents())
+    {
+        port_.send_envelope(agent, watching, {});
+    }
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_packets/packet_balancer.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "carawayshelf_packets/flow_cache.hpp"
+#include "carawayshelf_packets/load_board.hpp"
+#include "carawayshelf_packets/packet_counters.hpp"
+#include "carawayshelf_packets/packet_format.hpp"
+#include "carawayshelf_packets/packet_port.hpp"
+#include "carawayshelf_packets/packet_table.hpp"
+
+#include <string>
+#include <vector>
+
+namespace carawayshelf
+{
+
+/** The decisions of a balancer for flows of packets: where a new flow goes, and in which order the
+    agents are asked for a flow that it has not heard of. Not thread-safe; no I/O. */
+class packet_balancer
+{
+public:
+    struct options
+    {
+        endpoint data;      ///< Where agents send to.
+        std::string domain; ///< Its own failure domain.
+        std::size_t flow_cache_entries = 8192;
+    };
+
+    packet_balancer(const options& own, const packet_format& format, packet_port& port,
+                    packet_counters& counters);
+
+    /** Takes a client's packet.
+        @param is_fresh  whether control confirmed the table a moment ago */
+    void take_packet(time_point now, const packet_table& table, bool is_fresh,
+                     std::string_view bytes);
+
+    /** Takes a datagram from an agent. */
+    void take_envelope(time_point now, const packet_envelope& envelope, const endpoint& sender);
+
+    /** Asks the agents for load reports. Call every watch_interval. */
+    void tick(time_point now, const packet_table& table);
+
+    /** Agents report to a balancer that asked for it within three of these. */
+    static constexpr duration watch_interval = std::chrono::seconds(1);
+
+    /** Sequence of a reset that answers a packet: what its sender acknowledged. */
+    static std::uint32_t reset_sequence(const packet_head& head)
+    {
+        return head.is_opening ? 0 : head.acknowledged;
+    }
+
+private:
+    struct ranked_member
+    {
+        const packet_member* who = nullptr;
+        double cost = 0.0;
+        std::uint64_t rank = 0;
+    };
+
+    void place(time_point now, const packet_table& table, const packet_route& route,
+               const packet_head& head, packet_envelope& envelope);
+    void search(time_point now, const packet_table& table, const packet_route& route,
+                packet_envelope& envelope);
+    void rank_members(time_point now, const std::vector<packet_member>& members,
+                      std::uint64_t flow_hash, bool for_new);
+    void add_ranked(packet_envelope& envelope, std::size_t most);
+
+    options own_;
+    const packet_format& format_;
+    packet_port& port_;
+    packet_counters& counters_;
+    flow_cache cache_;
+    load_board loads_;
+    std::vector<ranked_member> ranked_;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_packets/packet_counters.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "carawayshelf_core/counter_set.hpp"
+#include "carawayshelf_core/name_table.hpp"
+
+#include <atomic>
+#include <cstdint>
+
+namespace carawayshelf
+{
+
+/** Why a balancer or an agent dropped a packet. */
+enum class packet_drop
+{
+    malformed,
+    no_route,    ///< No route, and the own table may be too old to say so.
+    no_member,   ///< The route has no member to send it to.
+    stale_table, ///< The sender held a newer table.
+    lost_flow,   ///< Every member has returned it, for the first time.
+    send_failed
+};
+
+inline constexpr name_table<packet_drop, 6> packet_drop_names{
+    {"malformed", "no_route", "no_member", "stale_table", "lost_flow", "send_failed"}};
+
+/** Why a flow was reset. */
+enum class packet_reset
+{
+    no_route,
+    refused, ///< No member could take the new flow.
+    nowhere  ///< Every member has returned it.
+};
+
+inline constexpr name_table<packet_reset, 3> packet_reset_names{{"no_route", "refused", "nowhere"}};
+
+/** Why an agent passed a packet on to the next candidate. */
+enum class pass_reason
+{
+    none,
+    wrong_service,
+    no_server, ///< Its backend server has not announced itself lately.
+    draining,
+    domain_out,
+    cold,
+    full,
+    not_here ///< The backend server returned it.
+};
+
+inline constexpr name_table<pass_reason, 8> pass_reason_names{
+    {"none", "wrong_service", "no_server", "draining", "domain_out", "cold", "full", "not_here"}};
+
+/** Counters of a packet balancer or packet agent; any thread may read them. */
+struct packet_counters
+{
+    std::atomic<std::uint64_t> received{0};
+    std::atomic<std::uint64_t> relayed{0};
+    std::atomic<std::uint64_t> replies{0};
+    std::atomic<std::uint64_t> placed{0};   ///< New flows.
+    std::atomic<std::uint64_t> searched{0}; ///< Packets of flows that were not in the cache.
+    counter_set<packet_drop, packet_drop_names.size()> drops;
+    counter_set<packet_reset, packet_reset_names.size()> resets;
+    counter_set<pass_reason, pass_reason_names.size()> passes;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_packets/packet_table.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "carawayshelf_catalogue/subscriber_table.hpp"
+#include "carawayshelf_catalogue/traffic_configuration.hpp"
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace carawayshelf
+{
+
+/** A member as traffic threads see it. */
+struct packet_member
+{
+    endpoint data;
+    std::string domain;
+    bool takes_new = false; ///< Its state and its failure domain allow new flows.
+    bool is_silent = false;
+};
+
+/** A service's part of a route. */
+struct packet_share
+{
+    std::uint32_t service = 0; ///< Index into packet_table::members_of().
+    std::uint32_t weight = 0;
+};
+
+/** A route as traffic threads see it. */
+struct packet_route
+{
+    request_class requests = request_class::idempotent;
+    std::uint32_t timeout_ms = 0;
+    std::uint32_t priority = 0;
+    std::uint32_t total_weight = 0;
+    std::vector<packet_share> shares;
+    std::vector<std::uint32_t> services; ///< Those of the shares, and earlier ones behind them.
+};
+
+/** Immutable copy of a subscriber's tables for traffic threads. Thread-safe. */
+class packet_table
+{
+public:
+    packet_table() = default;
+
+    explicit packet_table(const subscriber_table& from);
+
+    /** The route of an address, or nullptr. */
+    const packet_route* find_route(const endpoint& address) const;
+
+    /** Members of a service. Precondition: the index comes from a route of this table. */
+    const std::vector<packet_member>& members_of(std::uint32_t service) const
+    {
+        return members_[service];
+    }
+
+    /** Service that a new flow goes to, by the route's weights and the flow's hash. */
+    std::uint32_t pick_service(const packet_route& route, std::uint64_t flow_hash) const;
+
+    /** Whether a route's shares give new flows to a service. */
+    bool leads_to(const packet_route& route, const std::string& service) const;
+
+    /** Whether a route gives flows to a service, or gave it some before. */
+    bool may_hold(const packet_route& route, const std::string& service) const;
+
+    bool is_domain_out(const std::string& domain) const
+    {
+        return domains_out_.count(domain) != 0;
+    }
+
+    /** What a cold backend server of a service bears. */
+    double cold_requests_per_s(const std::string& service) const;
+
+    /** Flows that one backend server of a service holds; 0: no limit. */
+    std::uint32_t max_flows(const std::string& service) const;
+
+    generation held() const
+    {
+        return held_;
+    }
+
+    /** Every agent that has a member here. */
+    std::vector<endpoint> all_agents() const;
+
+private:
+    std::uint32_t index_of(const std::string& service);
+
+    generation held_ = 0;
+    std::unordered_map<endpoint, packet_route> routes_;
+    std::vector<std::vector<packet_member>> members_;
+    std::unordered_map<std::string, std::uint32_t> services_;
+    std::unordered_map<std::string, service_rules> rules_;
+    std::set<std::string> domains_out_;
+};
+
+} // namespace carawayshelf
