--- a/modules/carawayshelf_io/command_line.cpp
+++ b/modules/carawayshelf_io/command_line.cpp
@@ -5,6 +5,8 @@
 #include "carawayshelf_io/control_daemon.hpp"
 #include "carawayshelf_io/json_log.hpp"
 #include "carawayshelf_io/operator_commands.hpp"
+#include "carawayshelf_io/packet_agent_daemon.hpp"
+#include "carawayshelf_io/packet_balancer_daemon.hpp"
 
 #include <gflags/gflags.h>
 
@@ -110,7 +112,7 @@
 }
 
 template <typename Settings>
-int run_daemon(const char* role, failure (*run)(const Settings&),
+int run_daemon(const char* role, const std::function<failure(const Settings&)>& run,
                const std::function<std::string(const Settings&)>& name_of)
 {
     if (FLAGS_config.empty())
@@ -293,7 +295,7 @@
 
 } // namespace
 
-int run_command_line(int argc, char** argv)
+int run_command_line(int argc, char** argv, const platform_binding& platform)
 {
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
@@ -312,19 +314,30 @@
     }
     if (words[0] == "balancer")
     {
-        return run_daemon<balancer_settings>("balancer", run_balancer,
-                                             [](const balancer_settings& s) { return s.name; });
+        return run_daemon<balancer_settings>(
+            "balancer",
+            [&platform](const balancer_settings& s)
+            {
+                return s.protocol == flow_protocol::packets ? run_packet_balancer(s, platform)
+                                                            : run_balancer(s);
+            },
+            [](const balancer_settings& s) { return s.name; });
     }
     if (words[0] == "agent")
     {
         return run_daemon<agent_daemon_settings>(
-            "agent", run_agent, [](const agent_daemon_settings& s) { return s.name; });
+            "agent",
+            [&platform](const agent_daemon_settings& s) {
+                return s.protocol == flow_protocol::packets ? run_packet_agent(s, platform)
+                                                            : run_agent(s);
+            },
+            [](const agent_daemon_settings& s) { return s.name; });
     }
     if (words[0] == "control")
     {
-        return run_daemon<control_settings>("control", run_control,
-                                            [](const control_settings& s)
-                                            { return "slot-" + std::to_string(s.slot); });
+        return run_daemon<control_settings>(
+            "control", [&platform](const control_settings& s) { return run_control(s, platform); },
+            [](const control_settings& s) { return "slot-" + std::to_string(s.slot); });
     }
     return run_operator(words);
 }
--- a/modules/carawayshelf_io/command_line.hpp
+++ b/modules/carawayshelf_io/command_line.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "carawayshelf_io/platform_binding.hpp"
+
 namespace carawayshelf
 {
 
 /** Runs the program: a daemon or an operator's command. Returns the exit code of the process.
     Precondition: called once, from main(). */
-int run_command_line(int argc, char** argv);
+int run_command_line(int argc, char** argv, const platform_binding& platform);
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_io/control_client.cpp
+++ b/modules/carawayshelf_io/control_client.cpp
@@ -13,13 +13,27 @@
 {
 
 constexpr std::chrono::milliseconds heartbeat_interval(250);
-constexpr std::chrono::milliseconds retry_interval(200);
+constexpr std::chrono::milliseconds retry_interval(100);
+
+/** An attempt to connect that hangs for this long is given up. */
+constexpr duration connect_limit = std::chrono::milliseconds(600);
+
+/** A control instance that answers no heartbeat for this long is given up: three heartbeats. */
+constexpr duration silent_limit = std::chrono::milliseconds(800);
+
+/** A control instance without touch to a leader for this long is given up: several elections. */
+constexpr duration unconfirmed_limit = std::chrono::milliseconds(1500);
+
+time_point now()
+{
+    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+}
 
 } // namespace
 
 control_client::control_client(boost::asio::io_context& io, std::vector<endpoint> instances,
                                report_source report, update_handler on_update)
-    : io_(io), instances_(std::move(instances)), report_(std::move(report)),
+    : io_(io), instances_(std::move(instances)), settled_(instances_), report_(std::move(report)),
       on_update_(std::move(on_update)), retry_timer_(io), heartbeat_timer_(io)
 {
     // Daemons start at different instances, so that each instance carries its share of them.
@@ -47,9 +61,16 @@
     const endpoint address = instances_[next_++ % instances_.size()];
     const std::shared_ptr<boost::asio::ip::tcp::socket> socket =
         std::make_shared<boost::asio::ip::tcp::socket>(io_);
+    connecting_ = socket;
+    connecting_since_ = now();
     socket->async_connect(to_asio(address),
                           [this, socket](const boost::system::error_code& error)
                           {
+                              if (connecting_ != socket)
+                              {
+                                  return; // Given up meanwhile.
+                              }
+                              connecting_ = nullptr;
                               if (error)
                               {
                                   lose_connection();
@@ -62,6 +83,8 @@
 void control_client::on_connected(boost::asio::ip::tcp::socket socket)
 {
     connection_ = std::make_shared<frame_connection>(std::move(socket));
+    heard_ = now();
+    confirmed_ = now();
     connection_->start([this](frame& received) { handle_frame(received); },
                        [this](const failure& why)
                        {
@@ -105,8 +128,18 @@
 
 void control_client::handle_frame(frame& received)
 {
+    heard_ = now();
+    if (received.probe && received.probe->is_confirmed)
+    {
+        confirmed_ = now();
+        if (on_confirmed_)
+        {
+            on_confirmed_();
+        }
+    }
     if (received.update)
     {
+        learn_instances(received.update->instances);
         if (const std::optional<table_update> update = unpack_update(*received.update))
         {
             taken_ = std::max(taken_, update->held);
@@ -130,6 +163,43 @@
     }
 }
 
+void control_client::set_confirmation_handler(std::function<void()> on_confirmed)
+{
+    on_confirmed_ = std::move(on_confirmed);
+}
+
+void control_client::learn_instances(const std::vector<std::uint64_t>& instances)
+{
+    std::vector<endpoint> known = settled_;
+    for (const std::uint64_t packed : instances)
+    {
+        const endpoint address{static_cast<std::uint32_t>(packed >> 16U),
+                               static_cast<std::uint16_t>(packed & 0xFFFFU)};
+        if (!address.is_none() && std::find(known.begin(), known.end(), address) == known.end())
+        {
+            known.push_back(address);
+        }
+    }
+    instances_ = std::move(known);
+}
+
+void control_client::drop_if_silent()
+{
+    if (connecting_ && now() - connecting_since_ > connect_limit)
+    {
+        boost::system::error_code ignored;
+        connecting_->close(ignored);
+        connecting_ = nullptr;
+        lose_connection();
+    }
+    if (connection_ && (now() - heard_ > silent_limit || now() - confirmed_ > unconfirmed_limit))
+    {
+        const std::shared_ptr<frame_connection> silent = connection_;
+        silent->close(
+            make_failure(error_kind::unreachable, "the control instance is out of touch"));
+    }
+}
+
 void control_client::send_report()
 {
     if (is_connected())
@@ -148,6 +218,7 @@
         {
             if (!error)
             {
+                drop_if_silent();
                 send_report();
                 schedule_heartbeat();
             }
--- a/modules/carawayshelf_io/control_client.hpp
+++ b/modules/carawayshelf_io/control_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carawayshelf_catalogue/table_update.hpp"
+#include "carawayshelf_core/clock_time.hpp"
 #include "carawayshelf_io/control_protocol.hpp"
 #include "carawayshelf_io/frame_connection.hpp"
 
@@ -31,6 +32,10 @@
 
     void start();
 
+    /** Is told each time a control instance that is in touch with a leader has answered, after all
+        updates that it sent before. */
+    void set_confirmation_handler(std::function<void()> on_confirmed);
+
     /** Service whose slice an agent wants; subscribes anew when it changes. */
     void set_service(const std::string& service);
 
@@ -56,10 +61,18 @@
     void subscribe();
     void handle_frame(frame& received);
     void lose_connection();
+    void drop_if_silent();
+    void learn_instances(const std::vector<std::uint64_t>& instances);
     void schedule_heartbeat();
 
     boost::asio::io_context& io_;
     std::vector<endpoint> instances_;
+    std::vector<endpoint> settled_; ///< Those of the settings, which are always tried too.
+    std::shared_ptr<boost::asio::ip::tcp::socket> connecting_;
+    time_point connecting_since_;
+    time_point heard_;     ///< Any answer on this connection.
+    time_point confirmed_; ///< An answer of an instance in touch with a leader.
+    std::function<void()> on_confirmed_;
     report_source report_;
     update_handler on_update_;
     std::string service_;
--- a/modules/carawayshelf_io/control_daemon.cpp
+++ b/modules/carawayshelf_io/control_daemon.cpp
@@ -1,30 +1,27 @@
 #include "carawayshelf_io/control_daemon.hpp"
 
 #include "carawayshelf_io/control_server.hpp"
+#include "carawayshelf_io/daemon_signals.hpp"
 #include "carawayshelf_io/json_log.hpp"
 
-#include <boost/asio/signal_set.hpp>
-
-#include <csignal>
-
 namespace carawayshelf
 {
 
-failure run_control(const control_settings& settings)
+failure run_control(const control_settings& settings, const platform_binding& platform)
 {
     boost::asio::io_context io;
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait(
-        [&io](const boost::system::error_code& error, int /*signal*/)
-        {
-            if (!error)
-            {
-                // Everything acknowledged is synced, so there is nothing to wait for.
-                log_info("stops");
-                io.stop();
-            }
-        });
+    daemon_signals signals(io,
+                           [&io]
+                           {
+                               // Everything acknowledged is synced, so there is nothing to wait
+                               // for.
+                               log_info("stops");
+                               io.stop();
+                           });
     control_server server(io, settings);
+    http_server orders(
+        io, [&server, &platform](const http_request& request, const http_responder& respond)
+        { platform.handle_order(server, request, respond); });
     metrics_page metrics;
     if (failure failed = metrics.start(settings.metrics, [&server] { return server.samples(); }))
     {
@@ -34,6 +31,13 @@
     {
         return failed;
     }
+    if (!settings.orders.is_none())
+    {
+        if (failure failed = orders.start(settings.orders))
+        {
+            return failed;
+        }
+    }
     io.run();
     return server.stop_reason();
 }
--- a/modules/carawayshelf_io/control_protocol.cpp
+++ b/modules/carawayshelf_io/control_protocol.cpp
@@ -30,7 +30,8 @@
     value.domain = packed.domain;
     value.member = packed.member_id;
     value.held = packed.held;
-    value.state = static_cast<member_state>(std::min<std::uint8_t>(packed.state, 2));
+    value.state = static_cast<member_state>(
+        std::min<std::uint8_t>(packed.state, member_state_names.size() - 1));
     for (const buffers::released_bucket& bucket : packed.released)
     {
         value.released.push_back({bucket.bucket(), bucket.reported_at()});
--- a/modules/carawayshelf_io/control_protocol.hpp
+++ b/modules/carawayshelf_io/control_protocol.hpp
@@ -20,12 +20,17 @@
     list_services,
     list_domains,
     status,
-    wait_for, ///< Tell which live daemons don't hold a generation.
-    bootstrap ///< Make this instance the first of a new cluster.
+    wait_for,         ///< Tell which live daemons don't hold a generation.
+    bootstrap,        ///< Make this instance the first of a new cluster.
+    get_configuration ///< Read the traffic configuration.
 };
 
-inline constexpr name_table<request_kind, 7> request_kind_names{
-    {"propose", "get_service", "list_services", "list_domains", "status", "wait_for", "bootstrap"}};
+inline constexpr name_table<request_kind, 8> request_kind_names{
+    {"propose", "get_service", "list_services", "list_domains", "status", "wait_for", "bootstrap",
+     "get_configuration"}};
+
+/** Service name of a subscriber that wants all services. */
+constexpr const char* every_service = "*";
 
 /** Conversions between daemon reports and their frames. Thread-safe. */
 std::unique_ptr<buffers::daemon_lease_object> pack_report(const daemon_report& value);
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -18,6 +18,11 @@
 constexpr std::chrono::milliseconds tick_interval(10);
 constexpr std::chrono::milliseconds lease_interval(250);
 constexpr duration request_timeout = std::chrono::seconds(5);
+constexpr duration storage_retry_interval = std::chrono::milliseconds(250);
+
+/** An incoming connection on which nothing arrives for this long is closed; daemons and peers send
+    several times a second. */
+constexpr duration idle_connection_limit = std::chrono::seconds(10);
 
 std::uint64_t random_seed()
 {
@@ -28,14 +33,15 @@
 } // namespace
 
 control_server::control_server(boost::asio::io_context& io, const control_settings& settings)
-    : io_(io), settings_(settings), store_(settings.data_folder, settings.slot),
-      renewal_(settings.peers.size()), leases_(std::chrono::milliseconds(settings.lease_ms)),
-      acceptor_(io), timer_(io), lease_timer_(io)
+    : io_(io), settings_(settings), renewal_(settings.finds_peers ? 0 : settings.peers.size()),
+      leases_(std::chrono::milliseconds(settings.lease_ms)), acceptor_(io), timer_(io),
+      lease_timer_(io), peers_(io, settings.slot,
+                               [this](const connection_pointer& connection)
+                               {
+                                   start_connection(connection);
+                                   send_hello(connection);
+                               })
 {
-    for (const endpoint& address : settings.peers)
-    {
-        peers_.push_back({address, nullptr, false});
-    }
 }
 
 time_point control_server::now()
@@ -44,12 +50,72 @@
 }
 
 failure control_server::start()
+{
+    if (failure failed = found_cluster_if_first())
+    {
+        return failed;
+    }
+    if (failure failed = load_store())
+    {
+        return failed;
+    }
+    const endpoint own =
+        settings_.finds_peers ? settings_.address : settings_.peers[settings_.slot - 1U];
+    boost::system::error_code error;
+    acceptor_.open(boost::asio::ip::tcp::v4(), error);
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true), error);
+    acceptor_.bind(to_asio(own), error);
+    if (!error)
+    {
+        acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+    }
+    if (error)
+    {
+        return make_failure(error_kind::invalid_settings,
+                            "control address " + to_string(own) +
+                                " can't be bound: " + error.message());
+    }
+    accept_next();
+    on_timer();
+    on_lease_timer();
+    log_info("control instance of slot " + std::to_string(settings_.slot) + " listens at " +
+             to_string(own));
+    return {};
+}
+
+failure control_server::found_cluster_if_first()
+{
+    file_log_store store(settings_.data_folder, settings_.slot);
+    const bool is_seed =
+        std::any_of(settings_.peers.begin(), settings_.peers.end(),
+                    [this](const endpoint& seed) { return seed.address == settings_.slot; });
+    if (!settings_.is_first_start || !is_seed || !store.is_new())
+    {
+        return {};
+    }
+    // All seeds make the same start, so none has to wait for another.
+    snapshot base;
+    base.index = 1;
+    base.term = 1;
+    for (const endpoint& seed : settings_.peers)
+    {
+        base.voters.push_back(first_identity(seed.address));
+    }
+    std::sort(base.voters.begin(), base.voters.end());
+    base.state = encode_state(cluster_state{});
+    log_info("first start of the cluster, with " + std::to_string(base.voters.size()) + " voters");
+    return store.found(base);
+}
+
+failure control_server::load_store()
 {
     stored_state stored;
-    if (failure failed = store_.load(stored))
+    store_ = std::make_unique<file_log_store>(settings_.data_folder, settings_.slot);
+    if (failure failed = store_->load(stored))
     {
         return failed;
     }
+    cluster_state loaded;
     if (!stored.base.state.empty())
     {
         std::optional<cluster_state> decoded = decode_state(stored.base.state);
@@ -57,7 +123,7 @@
         {
             return make_failure(error_kind::storage_corrupt, "the snapshot's state is malformed");
         }
-        state_ = std::move(*decoded);
+        loaded = std::move(*decoded);
     }
     if (slot_of(stored.identity) != settings_.slot)
     {
@@ -67,29 +133,42 @@
                                 std::to_string(slot_of(stored.identity)) +
                                 ": correct the slot or the data_folder");
     }
+    state_ = std::move(loaded);
     renewal_.hear(settings_.slot, stored.identity);
     core_ = std::make_unique<consensus_core>(consensus_settings{}, stored, random_seed(), now());
-    const endpoint own = settings_.peers[settings_.slot - 1U];
-    boost::system::error_code error;
-    acceptor_.open(boost::asio::ip::tcp::v4(), error);
-    acceptor_.set_option(boost::asio::socket_base::reuse_address(true), error);
-    acceptor_.bind(to_asio(own), error);
-    if (!error)
+    is_storing_ = true;
+    return {};
+}
+
+void control_server::suspend_storage(const failure& why)
+{
+    // What was not stored is forgotten, as by a crash; nothing of it has been sent.
+    log_error("storage failed, serves nothing until it works again: " + why.message());
+    ++counters_.storage_failures;
+    is_storing_ = false;
+    fail_proposals_after_leadership();
+    for (const auto& [ticket, read] : std::exchange(reads_, {}))
     {
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+        read.done(make_error_reply(read.request.number, error_kind::no_leader,
+                                   "this instance can't store anything at present"));
     }
-    if (error)
+    was_leader_ = false;
+    storage_retry_at_ = now() + storage_retry_interval;
+}
+
+void control_server::resume_storage()
+{
+    if (is_storing_ || now() < storage_retry_at_)
     {
-        return make_failure(error_kind::invalid_settings,
-                            "control address " + to_string(own) +
-                                " can't be bound: " + error.message());
+        return;
     }
-    accept_next();
-    on_timer();
-    on_lease_timer();
-    log_info("control instance of slot " + std::to_string(settings_.slot) + " listens at " +
-             to_string(own));
-    return {};
+    storage_retry_at_ = now() + storage_retry_interval;
+    if (const failure failed = load_store())
+    {
+        log_warning("storage still fails: " + failed.message());
+        return;
+    }
+    log_info("storage works again");
 }
 
 void control_server::stop(const failure& why)
@@ -117,7 +196,7 @@
 
 void control_server::start_connection(const connection_pointer& connection)
 {
-    connections_[connection.get()] = connection;
+    connections_[connection.get()] = {connection, now()};
     const std::weak_ptr<frame_connection> weak = connection;
     connection->start(
         [this, weak](frame& received)
@@ -145,21 +224,31 @@
 {
     connections_.erase(connection.get());
     subscribers_.erase(connection.get());
-    for (peer_link& peer : peers_)
+    if (const instance_slot slot = peers_.lose(connection.get()))
     {
-        if (peer.connection == connection)
-        {
-            peer.connection = nullptr;
-            renewal_.forget(static_cast<instance_slot>(&peer - peers_.data() + 1));
-            fail_forwarded([&connection](const pending_request& request)
-                           { return request.via == connection; },
-                           "the leader was lost before it answered");
-        }
+        renewal_.forget(slot);
+        fail_forwarded([&connection](const pending_request& request)
+                       { return request.via == connection; },
+                       "the leader was lost before it answered");
     }
 }
 
 void control_server::handle_frame(const connection_pointer& connection, frame& received)
 {
+    const auto known = connections_.find(connection.get());
+    if (known != connections_.end())
+    {
+        known->second.heard = now();
+    }
+    peers_.hear(now(), connection.get());
+    if (!is_storing_)
+    {
+        return;
+    }
+    if (received.probe && !received.probe->is_reply)
+    {
+        answer_probe(connection, received.probe->number);
+    }
     if (received.consensus)
     {
         if (const std::optional<message> unpacked = unpack_message(*received.consensus))
@@ -170,10 +259,7 @@
     if (received.hello)
     {
         handle_hello(*received.hello);
-        const bool is_own_link = std::any_of(peers_.begin(), peers_.end(),
-                                             [&connection](const peer_link& peer)
-                                             { return peer.connection == connection; });
-        if (!is_own_link)
+        if (!peers_.is_outgoing(connection.get()))
         {
             send_hello(connection);
         }
@@ -192,6 +278,7 @@
     if (received.lease)
     {
         handle_report(connection, *received.lease);
+        answer_probe(connection, 0);
     }
     handle_parcels(connection, received);
     if (received.client_request)
@@ -254,37 +341,61 @@
     connection->send(answer);
 }
 
-void control_server::connect_peers()
+void control_server::maintain_peers()
 {
-    for (std::size_t slot = 1; slot <= peers_.size(); ++slot)
+    for (std::size_t i = 0; i < settings_.peers.size(); ++i)
+    {
+        const endpoint& address = settings_.peers[i];
+        learn_peer(settings_.finds_peers ? address.address : static_cast<instance_slot>(i + 1));
+    }
+    for (const instance_id voter : core_->log().voters())
     {
-        peer_link& peer = peers_[slot - 1];
-        if (slot != settings_.slot && !peer.connection && !peer.is_connecting)
+        learn_peer(slot_of(voter));
+    }
+    for (const instance_slot slot : renewal_.slots())
+    {
+        learn_peer(slot);
+    }
+    peers_.maintain(now());
+    std::vector<connection_pointer> idle;
+    for (const auto& [key, item] : connections_)
+    {
+        if (now() - item.heard > idle_connection_limit)
         {
-            connect_peer(slot);
+            idle.push_back(item.connection);
         }
     }
+    for (const connection_pointer& connection : idle)
+    {
+        connection->close(make_failure(error_kind::unreachable, "the peer was idle for too long"));
+    }
+}
+
+void control_server::learn_peer(instance_slot slot)
+{
+    if (settings_.finds_peers)
+    {
+        peers_.learn(now(), slot, {slot, settings_.address.port});
+    }
+    else if (slot >= 1 && slot <= settings_.peers.size())
+    {
+        peers_.learn(now(), slot, settings_.peers[slot - 1U]);
+    }
+}
+
+bool control_server::is_confirmed() const
+{
+    return is_storing_ && core_->is_in_touch(now());
 }
 
-void control_server::connect_peer(std::size_t slot)
+void control_server::answer_probe(const connection_pointer& connection, std::uint64_t number)
 {
-    peers_[slot - 1].is_connecting = true;
-    const std::shared_ptr<boost::asio::ip::tcp::socket> socket =
-        std::make_shared<boost::asio::ip::tcp::socket>(io_);
-    socket->async_connect(to_asio(peers_[slot - 1].address),
-                          [this, slot, socket](const boost::system::error_code& error)
-                          {
-                              peer_link& peer = peers_[slot - 1];
-                              peer.is_connecting = false;
-                              if (error)
-                              {
-                                  return;
-                              }
-                              peer.connection =
-                                  std::make_shared<frame_connection>(std::move(*socket));
-                              start_connection(peer.connection);
-                              send_hello(peer.connection);
-                          });
+    frame answer;
+    answer.probe = std::make_unique<buffers::link_probe_object>();
+    answer.probe->number = number;
+    answer.probe->is_reply = true;
+    answer.probe->is_confirmed = is_confirmed();
+    connection->send(answer);
 }
 
 void control_server::send_hello(const connection_pointer& connection)
@@ -294,19 +405,29 @@
     hello.hello->identity = core_->identity();
     hello.hello->slot = settings_.slot;
     hello.hello->is_voter = core_->is_voter();
+    for (const instance_id voter : core_->log().voters())
+    {
+        hello.hello->instances.push_back(voter);
+    }
     connection->send(hello);
 }
 
 void control_server::handle_hello(const buffers::peer_hello_object& hello)
 {
-    if (hello.slot < 1 || hello.slot > peers_.size() || hello.slot == settings_.slot)
+    const bool is_listed = hello.slot >= 1 && hello.slot <= settings_.peers.size();
+    if (hello.slot == settings_.slot || (!settings_.finds_peers && !is_listed))
     {
         log_warning("a control instance claims slot " + std::to_string(hello.slot) +
                     ": give each instance a slot of its own in 1 to " +
-                    std::to_string(peers_.size()));
+                    std::to_string(settings_.peers.size()));
         return;
     }
     renewal_.hear(hello.slot, hello.identity);
+    learn_peer(hello.slot);
+    for (const instance_id named : hello.instances)
+    {
+        learn_peer(slot_of(named));
+    }
 }
 
 control_server::connection_pointer control_server::connection_of(instance_id peer) const
@@ -314,8 +435,7 @@
     const instance_slot slot = slot_of(peer);
     const instance_id known = renewal_.identity_of(slot);
     const bool is_current = known == 0 || known == peer;
-    return slot >= 1 && slot <= peers_.size() && is_current ? peers_[slot - 1U].connection
-                                                            : nullptr;
+    return is_current ? peers_.connection_of(slot) : nullptr;
 }
 
 void control_server::send_message(const message& value)
@@ -335,6 +455,12 @@
         done(make_error_reply(request.number, error_kind::malformed_frame, "unknown request"));
         return;
     }
+    if (!is_storing_)
+    {
+        done(make_error_reply(request.number, error_kind::no_leader,
+                              "this instance can't store anything at present"));
+        return;
+    }
     if (static_cast<request_kind>(request.kind) == request_kind::bootstrap)
     {
         bootstrap(request, done);
@@ -515,6 +641,18 @@
         reply->state = std::make_unique<buffers::status_object>();
         fill_status(*reply->state);
         break;
+    case request_kind::get_configuration:
+    {
+        const cluster_state::contents& data = state_.data();
+        reply->version = data.configuration.version;
+        reply->content.assign(data.configuration.content.begin(), data.configuration.content.end());
+        if (data.configuration_changed_at == 0)
+        {
+            reply->error = static_cast<std::uint8_t>(error_kind::unknown_service);
+            reply->detail = "there is no configuration yet: send one";
+        }
+        break;
+    }
     case request_kind::propose:
     case request_kind::bootstrap:
         break;
@@ -575,7 +713,7 @@
 
 void control_server::pump()
 {
-    for (;;)
+    while (is_storing_)
     {
         const consensus_output output = core_->take_output();
         if (output.is_empty())
@@ -584,7 +722,7 @@
         }
         if (failure failed = store_output(output))
         {
-            stop(failed);
+            suspend_storage(failed);
             return;
         }
         core_->persisted(now());
@@ -613,6 +751,10 @@
             }
         }
     }
+    if (!is_storing_)
+    {
+        return;
+    }
     const bool is_leader = core_->role() == consensus_role::leader;
     if (is_leader && !was_leader_)
     {
@@ -643,7 +785,7 @@
         {
             return make_failure(error_kind::storage_corrupt, "a received snapshot is malformed");
         }
-        if (failure failed = store_.save_snapshot(*output.install, false))
+        if (failure failed = store_->save_snapshot(*output.install, false))
         {
             return failed;
         }
@@ -653,17 +795,17 @@
     }
     if (output.hard)
     {
-        if (failure failed = store_.save_hard_state(*output.hard))
+        if (failure failed = store_->save_hard_state(*output.hard))
         {
             return failed;
         }
     }
-    if (failure failed = store_.append(output.append))
+    if (failure failed = store_->append(output.append))
     {
         return failed;
     }
     ++counters_.syncs;
-    return store_.sync();
+    return store_->sync();
 }
 
 void control_server::apply_committed(const log_record& record)
@@ -738,9 +880,9 @@
     taken.term = core_->log().term_at(applied);
     taken.voters = core_->log().voters();
     taken.state = encode_state(state_);
-    if (failure failed = store_.save_snapshot(taken, true))
+    if (failure failed = store_->save_snapshot(taken, true))
     {
-        stop(failed);
+        suspend_storage(failed);
         return;
     }
     core_->compact(taken);
@@ -749,8 +891,12 @@
 
 void control_server::on_timer()
 {
-    core_->tick(now());
-    pump();
+    resume_storage();
+    if (is_storing_)
+    {
+        core_->tick(now());
+        pump();
+    }
     if (is_update_due_)
     {
         is_update_due_ = false;
@@ -769,12 +915,12 @@
 
 void control_server::on_lease_timer()
 {
-    connect_peers();
     const time_point instant = now();
+    maintain_peers();
     fail_forwarded([instant](const pending_request& request)
                    { return instant - request.asked >= request_timeout; },
                    "the leader did not answer in time");
-    if (core_->role() == consensus_role::leader)
+    if (is_storing_ && core_->role() == consensus_role::leader)
     {
         leases_.note_generation(instant, state_.data().held);
         for (const auto& [connection, who] : subscribers_)
@@ -848,6 +994,69 @@
     }
 }
 
+void control_server::order(const change& edit, order_handler done)
+{
+    std::unique_ptr<buffers::request_object> request = std::make_unique<buffers::request_object>();
+    request->kind = static_cast<std::uint8_t>(request_kind::propose);
+    request->proposed = pack_change(edit);
+    handle_request(*request, outcome_of(std::move(done)));
+    schedule_pump();
+}
+
+control_server::reply_handler control_server::outcome_of(order_handler done)
+{
+    return [done = std::move(done)](const reply_pointer& reply)
+    {
+        order_outcome outcome;
+        outcome.error = static_cast<error_kind>(reply->error);
+        outcome.detail = reply->detail;
+        if (outcome.error == error_kind::none && reply->result)
+        {
+            outcome.error = static_cast<error_kind>(reply->result->error);
+            outcome.detail = reply->result->detail;
+        }
+        outcome.content.assign(reply->content.begin(), reply->content.end());
+        done(outcome);
+    };
+}
+
+void control_server::replace(const traffic_configuration& configuration, order_handler done)
+{
+    const std::vector<std::string> faults = find_configuration_faults(configuration);
+    if (!faults.empty())
+    {
+        done({error_kind::invalid_entry, join_faults(faults), {}});
+        return;
+    }
+    order(replace_configuration{configuration}, std::move(done));
+}
+
+void control_server::read(order_handler done)
+{
+    buffers::request_object request;
+    request.kind = static_cast<std::uint8_t>(request_kind::get_configuration);
+    handle_request(request, outcome_of(std::move(done)));
+    schedule_pump();
+}
+
+void control_server::mark(const std::string& domain, bool out, order_handler done)
+{
+    const bool is_known = std::find(settings_.domains.begin(), settings_.domains.end(), domain) !=
+                          settings_.domains.end();
+    if (!is_known)
+    {
+        done({error_kind::unknown_domain,
+              "failure domain '" + domain + "' is not in the settings",
+              {}});
+        return;
+    }
+    mark_domain edit;
+    edit.domain = domain;
+    edit.out = out;
+    edit.is_unconditional = true;
+    order(edit, std::move(done));
+}
+
 void control_server::send_updates()
 {
     for (auto& [connection, who] : subscribers_)
@@ -857,6 +1066,16 @@
     encoded_.clear();
 }
 
+std::uint64_t control_server::instance_address(instance_id voter) const
+{
+    const instance_slot slot = slot_of(voter);
+    const bool is_listed = slot >= 1 && slot <= settings_.peers.size();
+    const endpoint address = settings_.finds_peers ? endpoint{slot, settings_.address.port}
+                             : is_listed           ? settings_.peers[slot - 1U]
+                                                   : endpoint{};
+    return (static_cast<std::uint64_t>(address.address) << 16U) | address.port;
+}
+
 void control_server::send_update(subscriber& to)
 {
     const generation current = state_.data().held;
@@ -864,13 +1083,17 @@
     {
         return;
     }
-    const std::string only =
-        to.report.kind == daemon_kind::agent ? (to.service.empty() ? "-" : to.service) : "";
+    const bool takes_all = to.report.kind == daemon_kind::balancer || to.service == every_service;
+    const std::string only = takes_all ? "" : (to.service.empty() ? "-" : to.service);
     std::shared_ptr<const std::string>& bytes = encoded_[{to.sent, only}];
     if (!bytes)
     {
         frame update;
         update.update = pack_update(state_.collect_update(to.sent, only));
+        for (const instance_id voter : core_->log().voters())
+        {
+            update.update->instances.push_back(instance_address(voter));
+        }
         bytes = std::make_shared<const std::string>(encode_frame(update));
     }
     to.connection->send_encoded(bytes);
@@ -891,6 +1114,7 @@
         {"control_syncs_total", "", static_cast<double>(counters_.syncs)},
         {"control_updates_sent_total", "", static_cast<double>(counters_.updates_sent)},
         {"control_update_bytes_total", "", static_cast<double>(counters_.update_bytes)},
+        {"control_storage_failures_total", "", static_cast<double>(counters_.storage_failures)},
         {"control_generation", "", static_cast<double>(counters_.generation), false},
         {"control_term", "", static_cast<double>(counters_.term), false},
         {"control_is_leader", "", static_cast<double>(counters_.is_leader), false},
--- a/modules/carawayshelf_io/control_server.hpp
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -9,6 +9,8 @@
 #include "carawayshelf_io/lease_table.hpp"
 #include "carawayshelf_io/metrics_page.hpp"
 #include "carawayshelf_io/parking_place.hpp"
+#include "carawayshelf_io/peer_links.hpp"
+#include "carawayshelf_io/platform_binding.hpp"
 #include "carawayshelf_io/settings.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -37,6 +39,7 @@
     std::atomic<std::uint64_t> not_confirmed{0};
     std::atomic<std::uint64_t> broken_frames{0};
     std::atomic<std::uint64_t> syncs{0};
+    std::atomic<std::uint64_t> storage_failures{0};
     std::atomic<std::uint64_t> updates_sent{0};
     std::atomic<std::uint64_t> update_bytes{0};
     std::atomic<std::uint64_t> generation{0};
@@ -46,7 +49,7 @@
 
 /** One control instance: the consensus core, its disk, its peers, its subscribers and operators.
     Everything runs on the io_context's one thread. */
-class control_server
+class control_server : public operator_orders
 {
 public:
     control_server(boost::asio::io_context& io, const control_settings& settings);
@@ -55,6 +58,10 @@
         Errors: storage_failed, storage_corrupt, invalid_settings. */
     failure start();
 
+    void replace(const traffic_configuration& configuration, order_handler done) override;
+    void read(order_handler done) override;
+    void mark(const std::string& domain, bool out, order_handler done) override;
+
     /** Why it stopped by itself, if it did. */
     const failure& stop_reason() const
     {
@@ -69,12 +76,11 @@
     using reply_pointer = std::unique_ptr<buffers::reply_object>;
     using reply_handler = std::function<void(reply_pointer)>;
 
-    /** An outgoing connection to another control instance. */
-    struct peer_link
+    /** Any connection, incoming or outgoing. */
+    struct open_connection
     {
-        endpoint address;
         connection_pointer connection;
-        bool is_connecting = false;
+        time_point heard;
     };
 
     /** A daemon that gets updates on its connection. */
@@ -111,8 +117,17 @@
     void accept_next();
     void start_connection(const connection_pointer& connection);
     void handle_frame(const connection_pointer& connection, frame& received);
-    void connect_peers();
-    void connect_peer(std::size_t slot);
+    failure found_cluster_if_first();
+    failure load_store();
+    void suspend_storage(const failure& why);
+    void resume_storage();
+    void maintain_peers();
+    void learn_peer(instance_slot slot);
+    bool is_confirmed() const;
+    void answer_probe(const connection_pointer& connection, std::uint64_t number);
+    std::uint64_t instance_address(instance_id voter) const;
+    void order(const change& edit, order_handler done);
+    static reply_handler outcome_of(order_handler done);
     void send_hello(const connection_pointer& connection);
     void send_message(const message& value);
     connection_pointer connection_of(instance_id peer) const;
@@ -152,7 +167,9 @@
 
     boost::asio::io_context& io_;
     control_settings settings_;
-    file_log_store store_;
+    std::unique_ptr<file_log_store> store_;
+    bool is_storing_ = false; ///< The last attempt to use the disk succeeded.
+    time_point storage_retry_at_;
     std::unique_ptr<consensus_core> core_;
     cluster_state state_;
     voter_renewal renewal_;
@@ -161,8 +178,8 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer lease_timer_;
-    std::vector<peer_link> peers_;
-    std::map<frame_connection*, connection_pointer> connections_;
+    peer_links peers_;
+    std::map<frame_connection*, open_connection> connections_;
     std::map<frame_connection*, subscriber> subscribers_;
     std::map<log_index, pending_proposal> proposals_;
     std::map<read_ticket, pending_read> reads_;
--- a/modules/carawayshelf_io/file_log_store.cpp
+++ b/modules/carawayshelf_io/file_log_store.cpp
@@ -105,7 +105,7 @@
 
 } // namespace
 
-file_log_store::file_log_store(std::string folder, std::uint16_t slot)
+file_log_store::file_log_store(std::string folder, instance_slot slot)
     : folder_(std::move(folder)), slot_(slot)
 {
 }
@@ -132,6 +132,26 @@
     return load_log(loaded);
 }
 
+bool file_log_store::is_new() const
+{
+    std::string content;
+    return !read_file(path("identity"), content);
+}
+
+failure file_log_store::found(const snapshot& base)
+{
+    if (::mkdir(folder_.c_str(), folder_mode) != 0 && errno != EEXIST)
+    {
+        return storage_failure("making the data folder " + folder_);
+    }
+    hard_ = {base.term, 0};
+    if (failure failed = save_snapshot(base, false))
+    {
+        return failed;
+    }
+    return replace_file("identity", std::to_string(first_identity(slot_)) + "\n");
+}
+
 failure file_log_store::load_identity(stored_state& loaded)
 {
     std::string content;
@@ -325,7 +345,7 @@
     }
     records_ = records;
     // The old length must not be held against the new, shorter log.
-    if (synced_.is_open() && ::ftruncate(synced_.get(), 0) != 0)
+    if (synced_.is_open() && (::ftruncate(synced_.get(), 0) != 0 || ::fsync(synced_.get()) != 0))
     {
         return storage_failure("writing " + path("synced"));
     }
--- a/modules/carawayshelf_io/file_log_store.hpp
+++ b/modules/carawayshelf_io/file_log_store.hpp
@@ -22,9 +22,16 @@
 public:
     /** @param folder  made if missing
         @param slot    place of this instance; becomes part of a new identity */
-    file_log_store(std::string folder, std::uint16_t slot);
+    file_log_store(std::string folder, instance_slot slot);
 
     failure load(stored_state& loaded) override;
+
+    /** Whether the folder holds no identity, so that it is new or was lost. */
+    bool is_new() const;
+
+    /** Makes a new folder hold a given start of the log, under the slot's first identity.
+        Precondition: is_new(). */
+    failure found(const snapshot& base);
     failure save_hard_state(const hard_state& hard) override;
     failure append(const std::vector<log_record>& records) override;
     failure sync() override;
@@ -42,7 +49,7 @@
     std::string path(const std::string& name) const;
 
     std::string folder_;
-    std::uint16_t slot_;
+    instance_slot slot_;
     unique_fd log_;
     unique_fd synced_;
     std::uint64_t length_ = 0;
--- /dev/null
+++ b/modules/carawayshelf_io/http_server.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "carawayshelf_core/endpoint.hpp"
+#include "carawayshelf_core/error.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <string>
+
+namespace carawayshelf
+{
+
+/** What a caller asks over HTTP. */
+struct http_request
+{
+    std::string method;
+    std::string target;
+    std::string body;
+};
+
+/** What it is answered. */
+struct http_reply
+{
+    unsigned status = 200;
+    std::string content_type = "application/json";
+    std::string body;
+};
+
+/** Answers a request, once, now or later, on the io_context's thread. */
+using http_responder = std::function<void(const http_reply&)>;
+
+/** Handles a request; must see to it that the responder is called. */
+using http_handler = std::function<void(const http_request&, const http_responder&)>;
+
+/** A small HTTP/1.1 server with persistent connections. All handlers run on the io_context's
+    thread. A request that can't be read is answered with 400, a body over the limit with 413. */
+class http_server
+{
+public:
+    /** Longest body that is read: a configuration of some ten thousand routes. */
+    static constexpr std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
+
+    http_server(boost::asio::io_context& io, http_handler handler);
+
+    /** Listens at an address. Errors: invalid_settings when it can't be bound. */
+    failure start(const endpoint& address);
+
+    /** Whether a request could be handled; callers may connect all the same. */
+    const http_handler& handler() const
+    {
+        return handler_;
+    }
+
+private:
+    void accept_next();
+
+    boost::asio::io_context& io_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    http_handler handler_;
+};
+
+} // namespace carawayshelf
--- a/modules/carawayshelf_io/lease_table.cpp
+++ b/modules/carawayshelf_io/lease_table.cpp
@@ -10,6 +10,10 @@
 
 constexpr duration propose_again = std::chrono::seconds(2);
 
+/** A silent member whose backend server owns its flows is kept until these are over; the users'
+    flows last 60 s. */
+constexpr duration silent_member_memory = std::chrono::seconds(75);
+
 } // namespace
 
 lease_table::lease_table(duration lease) : lease_(lease)
@@ -92,7 +96,17 @@
     const time_point since = heard == members_heard_.end() ? started_ : heard->second;
     if (now - since >= lease_)
     {
-        if (is_due(now, "retire " + std::to_string(who.id)))
+        const bool may_hold_flows =
+            who.protocol == flow_protocol::packets && now - since < silent_member_memory;
+        if (may_hold_flows)
+        {
+            if (who.state != member_state::silent &&
+                is_due(now, "silent " + std::to_string(who.id)))
+            {
+                changes.emplace_back(set_member_state{who.id, member_state::silent});
+            }
+        }
+        else if (is_due(now, "retire " + std::to_string(who.id)))
         {
             changes.emplace_back(retire_member{who.id});
         }
--- /dev/null
+++ b/modules/carawayshelf_io/packet_agent_daemon.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "carawayshelf_core/error.hpp"
+#include "carawayshelf_io/platform_binding.hpp"
+#include "carawayshelf_io/settings.hpp"
+
+namespace carawayshelf
+{
+
+/** Runs the agent beside a backend server whose flows are packets, until it is asked to stop.
+    Errors: invalid_settings. */
+failure run_packet_agent(const agent_daemon_settings& settings, const platform_binding& platform);
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/packet_agent_worker.cpp
@@ -0,0 +1,145 @@
+#include "carawayshelf_io/packet_agent_worker.hpp"
+
+#include <poll.h>
+
+#include <array>
+#include <utility>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+time_point now()
+{
+    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+}
+
+packet_agent::options make_options(const agent_daemon_settings& settings)
+{
+    packet_agent::options own;
+    own.data = settings.data;
+    own.domain = settings.domain;
+    own.service = settings.service;
+    own.announce_interval = std::chrono::milliseconds(settings.announce_ms);
+    return own;
+}
+
+} // namespace
+
+packet_agent_worker::packet_agent_worker(const agent_daemon_settings& settings,
+                                         const packet_format& format, packet_counters& counters)
+    : settings_(settings), sockets_(format, settings.client_port, counters),
+      core_(make_options(settings), format, sockets_, counters), counters_(counters)
+{
+}
+
+packet_agent_worker::~packet_agent_worker()
+{
+    is_stopping_ = true;
+    wake_.ring();
+    if (thread_.joinable())
+    {
+        thread_.join();
+    }
+}
+
+failure packet_agent_worker::start()
+{
+    if (failure failed = sockets_.open(settings_.data, settings_.server_side, settings_.server))
+    {
+        return failed;
+    }
+    thread_ = std::thread([this] { run(); });
+    return {};
+}
+
+void packet_agent_worker::post(command wanted)
+{
+    commands_.push(std::move(wanted));
+    wake_.ring();
+}
+
+void packet_agent_worker::run()
+{
+    std::array<pollfd, 3> watched = {{{sockets_.data_fd(), POLLIN, 0},
+                                      {sockets_.server_side_fd(), POLLIN, 0},
+                                      {wake_.fd(), POLLIN, 0}}};
+    time_point tick_due = now();
+    while (!is_stopping_)
+    {
+        const duration left = std::max(tick_due - now(), duration(0));
+        ::poll(watched.data(), watched.size(),
+               static_cast<int>(
+                   std::chrono::duration_cast<std::chrono::milliseconds>(left).count() + 1));
+        const time_point instant = now();
+        if (watched[2].revents != 0)
+        {
+            wake_.clear();
+            run_commands(instant);
+        }
+        while (watched[0].revents != 0 && take_envelopes(instant))
+        {
+        }
+        while (watched[1].revents != 0 && take_server_packets(instant))
+        {
+        }
+        if (instant >= tick_due)
+        {
+            tick_due = instant + packet_agent::report_interval;
+            core_.tick(instant);
+        }
+        sockets_.flush();
+    }
+}
+
+void packet_agent_worker::run_commands(time_point instant)
+{
+    command wanted;
+    while (commands_.try_pop(wanted))
+    {
+        wanted(instant, core_);
+    }
+}
+
+bool packet_agent_worker::take_envelopes(time_point instant)
+{
+    const std::size_t count = received_.receive(sockets_.data_fd());
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const std::string_view bytes = received_.datagram(i);
+        packet_envelope envelope;
+        std::size_t header_size = 0;
+        if (received_.is_cut(i) ||
+            !decode_packet_envelope(reinterpret_cast<const std::uint8_t*>(bytes.data()),
+                                    bytes.size(), envelope, header_size))
+        {
+            counters_.drops.add(packet_drop::malformed);
+            continue;
+        }
+        core_.take_envelope(instant, envelope, received_.mutable_datagram(i) + header_size,
+                            bytes.size() - header_size);
+    }
+    sockets_.flush();
+    return count == batch_size;
+}
+
+bool packet_agent_worker::take_server_packets(time_point instant)
+{
+    const std::size_t count = received_.receive(sockets_.server_side_fd());
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        if (received_.is_cut(i))
+        {
+            counters_.drops.add(packet_drop::malformed);
+            continue;
+        }
+        core_.take_server_packet(instant, received_.mutable_datagram(i),
+                                 received_.datagram(i).size());
+    }
+    sockets_.flush();
+    return count == batch_size;
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/packet_balancer_daemon.cpp
@@ -0,0 +1,285 @@
+#include "carawayshelf_io/packet_balancer_daemon.hpp"
+
+#include "carawayshelf_io/control_client.hpp"
+#include "carawayshelf_io/daemon_signals.hpp"
+#include "carawayshelf_io/http_server.hpp"
+#include "carawayshelf_io/json_log.hpp"
+#include "carawayshelf_io/metrics_page.hpp"
+#include "carawayshelf_io/packet_samples.hpp"
+#include "carawayshelf_io/packet_sockets.hpp"
+#include "carawayshelf_io/wake_up.hpp"
+#include "carawayshelf_packets/packet_balancer.hpp"
+
+#include <poll.h>
+
+#include <array>
+#include <atomic>
+#include <thread>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+/** A table that control confirmed this long ago is no ground for resets: four heartbeats. */
+constexpr duration table_fresh_for = std::chrono::seconds(1);
+
+time_point now()
+{
+    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+}
+
+/** The traffic thread of a packet balancer. */
+class packet_balancer_worker
+{
+public:
+    packet_balancer_worker(const balancer_settings& settings, const platform_binding& platform,
+                           packet_counters& counters)
+        : settings_(settings), sockets_(platform.packets(), settings.entry.port, counters),
+          core_({settings.data, settings.domain, settings.flow_cache_entries}, platform.packets(),
+                sockets_, counters),
+          counters_(counters), table_(std::make_shared<const packet_table>())
+    {
+    }
+
+    ~packet_balancer_worker()
+    {
+        is_stopping_ = true;
+        wake_.ring();
+        if (thread_.joinable())
+        {
+            thread_.join();
+        }
+    }
+
+    failure start()
+    {
+        if (failure failed = sockets_.open(settings_.data, {}, {}))
+        {
+            return failed;
+        }
+        if (failure failed = open_udp_socket(settings_.entry, entry_))
+        {
+            return failed;
+        }
+        thread_ = std::thread([this] { run(); });
+        return {};
+    }
+
+    /** Thread-safe. */
+    void set_table(std::shared_ptr<const packet_table> table)
+    {
+        std::atomic_store(&table_, std::move(table));
+        wake_.ring();
+    }
+
+    /** Thread-safe. */
+    void confirm_table()
+    {
+        confirmed_us_ = now().time_since_epoch().count();
+    }
+
+private:
+    void run()
+    {
+        std::array<pollfd, 3> watched = {
+            {{entry_.get(), POLLIN, 0}, {sockets_.data_fd(), POLLIN, 0}, {wake_.fd(), POLLIN, 0}}};
+        time_point tick_due = now();
+        generation ticked_for = 0;
+        while (!is_stopping_)
+        {
+            const duration left = std::max(tick_due - now(), duration(0));
+            ::poll(watched.data(), watched.size(),
+                   static_cast<int>(
+                       std::chrono::duration_cast<std::chrono::milliseconds>(left).count() + 1));
+            wake_.clear();
+            const std::shared_ptr<const packet_table> table = std::atomic_load(&table_);
+            const time_point instant = now();
+            while (take_envelopes(instant) || take_packets(instant, *table))
+            {
+            }
+            if (instant >= tick_due || table->held() != ticked_for)
+            {
+                ticked_for = table->held();
+                tick_due = instant + packet_balancer::watch_interval;
+                core_.tick(instant, *table);
+                sockets_.flush();
+            }
+        }
+    }
+
+    /** Returns whether there may be more. */
+    bool take_envelopes(time_point instant)
+    {
+        const std::size_t count = received_.receive(sockets_.data_fd());
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            const std::string_view bytes = received_.datagram(i);
+            packet_envelope envelope;
+            std::size_t header_size = 0;
+            if (received_.is_cut(i) ||
+                !decode_packet_envelope(reinterpret_cast<const std::uint8_t*>(bytes.data()),
+                                        bytes.size(), envelope, header_size))
+            {
+                counters_.drops.add(packet_drop::malformed);
+                continue;
+            }
+            core_.take_envelope(instant, envelope, received_.sender(i));
+        }
+        return count == batch_size;
+    }
+
+    /** Returns whether there may be more. */
+    bool take_packets(time_point instant, const packet_table& table)
+    {
+        const bool is_fresh =
+            instant.time_since_epoch().count() - confirmed_us_ < table_fresh_for.count();
+        const std::size_t count = received_.receive(entry_.get());
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            if (received_.is_cut(i))
+            {
+                counters_.drops.add(packet_drop::malformed);
+                continue;
+            }
+            core_.take_packet(instant, table, is_fresh && table.held() != 0, received_.datagram(i));
+        }
+        sockets_.flush();
+        return count == batch_size;
+    }
+
+    const balancer_settings& settings_;
+    packet_sockets sockets_;
+    packet_balancer core_;
+    packet_counters& counters_;
+    unique_fd entry_;
+    wake_up wake_;
+    receive_batch received_;
+    std::shared_ptr<const packet_table> table_; ///< Use std::atomic_load and std::atomic_store.
+    std::atomic<std::int64_t> confirmed_us_{INT64_MIN / 2};
+    std::atomic<bool> is_stopping_{false};
+    std::thread thread_;
+};
+
+/** The control side of a packet balancer. Runs on the io_context's one thread. */
+class packet_balancer_daemon
+{
+public:
+    packet_balancer_daemon(boost::asio::io_context& io, const balancer_settings& settings,
+                           const platform_binding& platform)
+        : io_(io), settings_(settings), worker_(settings, platform, counters_),
+          client_(
+              io, settings.control, [this] { return report(); },
+              [this](const table_update& update) { take_update(update); }),
+          readiness_(io,
+                     [this, &platform](const http_request& request, const http_responder& respond)
+                     { platform.handle_readiness(is_ready_ && !is_stopping_, request, respond); }),
+          stop_timer_(io)
+    {
+    }
+
+    failure start()
+    {
+        if (failure failed = worker_.start())
+        {
+            return failed;
+        }
+        if (failure failed = readiness_.start(settings_.readiness))
+        {
+            return failed;
+        }
+        client_.set_confirmation_handler([this] { worker_.confirm_table(); });
+        client_.start();
+        log_info("packet balancer runs, packets at " + to_string(settings_.entry) +
+                 ", envelopes at " + to_string(settings_.data));
+        return {};
+    }
+
+    /** Is not ready any more, and relays on until the routers have noticed. */
+    void begin_stop()
+    {
+        if (is_stopping_)
+        {
+            io_.stop();
+            return;
+        }
+        is_stopping_ = true;
+        log_info("stops: not ready any more, relays on for " + std::to_string(settings_.stop_ms) +
+                 " ms");
+        stop_timer_.expires_after(std::chrono::milliseconds(settings_.stop_ms));
+        stop_timer_.async_wait([this](const boost::system::error_code& /*error*/) { io_.stop(); });
+    }
+
+    std::vector<metric_sample> samples() const
+    {
+        std::vector<metric_sample> samples = packet_samples("balancer", counters_);
+        samples.push_back({"balancer_generation", "", static_cast<double>(held_), false});
+        return samples;
+    }
+
+private:
+    daemon_report report() const
+    {
+        daemon_report value;
+        value.kind = daemon_kind::balancer;
+        value.name = settings_.name;
+        value.domain = settings_.domain;
+        value.held = held_;
+        return value;
+    }
+
+    void take_update(const table_update& update)
+    {
+        if (!table_.apply(update))
+        {
+            log_warning("ignored an update to generation " + std::to_string(update.held) +
+                        ", older than the held " + std::to_string(table_.held()));
+            return;
+        }
+        worker_.set_table(std::make_shared<const packet_table>(table_));
+        worker_.confirm_table();
+        held_ = table_.held();
+        if (!is_ready_ && table_.rules())
+        {
+            is_ready_ = true;
+            log_info("ready with generation " + std::to_string(held_));
+        }
+        client_.send_report();
+    }
+
+    boost::asio::io_context& io_;
+    balancer_settings settings_;
+    packet_counters counters_;
+    subscriber_table table_;
+    std::atomic<generation> held_{0};
+    bool is_ready_ = false;
+    bool is_stopping_ = false;
+    packet_balancer_worker worker_;
+    control_client client_;
+    http_server readiness_;
+    boost::asio::steady_timer stop_timer_;
+};
+
+} // namespace
+
+failure run_packet_balancer(const balancer_settings& settings, const platform_binding& platform)
+{
+    boost::asio::io_context io;
+    packet_balancer_daemon daemon(io, settings, platform);
+    daemon_signals signals(io, [&daemon] { daemon.begin_stop(); });
+    metrics_page metrics;
+    if (failure failed = metrics.start(settings.metrics, [&daemon] { return daemon.samples(); }))
+    {
+        return failed;
+    }
+    if (failure failed = daemon.start())
+    {
+        return failed;
+    }
+    io.run();
+    log_info("stops");
+    return {};
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/packet_samples.cpp
@@ -0,0 +1,21 @@
+#include "carawayshelf_io/packet_samples.hpp"
+
+namespace carawayshelf
+{
+
+std::vector<metric_sample> packet_samples(const std::string& role, const packet_counters& counters)
+{
+    std::vector<metric_sample> samples = {
+        {role + "_received_total", "", static_cast<double>(counters.received)},
+        {role + "_relayed_total", "", static_cast<double>(counters.relayed)},
+        {role + "_replies_total", "", static_cast<double>(counters.replies)},
+        {role + "_placed_total", "", static_cast<double>(counters.placed)},
+        {role + "_searched_total", "", static_cast<double>(counters.searched)},
+    };
+    add_reason_samples(samples, role + "_dropped_total", packet_drop_names, counters.drops);
+    add_reason_samples(samples, role + "_resets_total", packet_reset_names, counters.resets);
+    add_reason_samples(samples, role + "_passed_total", pass_reason_names, counters.passes);
+    return samples;
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/packet_sockets.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "carawayshelf_io/udp_socket.hpp"
+#include "carawayshelf_packets/packet_counters.hpp"
+#include "carawayshelf_packets/packet_format.hpp"
+#include "carawayshelf_packets/packet_port.hpp"
+
+#include <string_view>
+
+namespace carawayshelf
+{
+
+/** The sockets of a packet balancer or packet agent as their cores' port: collects what they send
+    and sends it in batches. Not thread-safe. */
+class packet_sockets : public packet_port
+{
+public:
+    /** @param client_port  port of every client's router */
+    packet_sockets(const packet_format& format, std::uint16_t client_port,
+                   packet_counters& counters);
+
+    /** Opens the socket that faces balancers, agents and clients, and for an agent the one that
+        faces its backend server. Errors: invalid_settings. */
+    failure open(const endpoint& data, const endpoint& server_side, const endpoint& server);
+
+    void send_envelope(const endpoint& to, const packet_envelope& envelope,
+                       std::string_view packet) override;
+    void send_to_client(std::uint32_t client_address, std::string_view packet) override;
+    void send_reset(const packet_flow& flow, std::uint32_t sequence) override;
+    void send_to_server(std::string_view packet) override;
+
+    /** Sends what was collected. Call before the bytes handed in become invalid. */
+    void flush();
+
+    int data_fd() const
+    {
+        return data_.get();
+    }
+
+    int server_side_fd() const
+    {
+        return server_side_.get();
+    }
+
+private:
+    void flush_one(send_batch& batch, int fd);
+
+    const packet_format& format_;
+    std::uint16_t client_port_;
+    packet_counters& counters_;
+    endpoint server_;
+    unique_fd data_;
+    unique_fd server_side_;
+    send_batch to_network_;
+    send_batch to_server_;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/peer_links.cpp
@@ -0,0 +1,149 @@
+#include "carawayshelf_io/peer_links.hpp"
+
+#include <utility>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+/** An attempt to connect that hangs for this long is given up: many round trips. */
+constexpr duration connect_limit = std::chrono::milliseconds(800);
+
+/** An instance that nobody names for this long is forgotten. */
+constexpr duration forget_after = std::chrono::seconds(30);
+
+} // namespace
+
+peer_links::peer_links(boost::asio::io_context& io, instance_slot own, connect_handler on_connected)
+    : io_(io), own_(own), on_connected_(std::move(on_connected))
+{
+}
+
+void peer_links::learn(time_point now, instance_slot slot, const endpoint& address)
+{
+    if (slot == own_ || slot == 0 || address.is_none())
+    {
+        return;
+    }
+    link& peer = links_[slot];
+    peer.address = address;
+    peer.learned = now;
+}
+
+void peer_links::maintain(time_point now)
+{
+    for (auto item = links_.begin(); item != links_.end();)
+    {
+        const auto current = item++;
+        link& peer = current->second;
+        if (peer.connection && now - peer.heard > silent_limit)
+        {
+            const connection_pointer silent = peer.connection;
+            silent->close(make_failure(error_kind::unreachable, "the peer answers no probes"));
+        }
+        else if (peer.connection)
+        {
+            frame sent;
+            sent.probe = std::make_unique<buffers::link_probe_object>();
+            sent.probe->number = ++last_probe_;
+            peer.connection->send(sent);
+        }
+        else if (now - peer.learned > forget_after)
+        {
+            links_.erase(current);
+        }
+        else if (!peer.connecting || now - peer.since > connect_limit)
+        {
+            connect(now, current->first, peer);
+        }
+    }
+}
+
+void peer_links::connect(time_point now, instance_slot slot, link& peer)
+{
+    if (peer.connecting)
+    {
+        boost::system::error_code ignored;
+        peer.connecting->close(ignored);
+    }
+    peer.since = now;
+    const std::shared_ptr<boost::asio::ip::tcp::socket> socket =
+        std::make_shared<boost::asio::ip::tcp::socket>(io_);
+    peer.connecting = socket;
+    socket->async_connect(to_asio(peer.address),
+                          [this, slot, socket](const boost::system::error_code& error)
+                          {
+                              const auto found = links_.find(slot);
+                              if (found == links_.end() || found->second.connecting != socket)
+                              {
+                                  return; // A later attempt took its place.
+                              }
+                              link& connected = found->second;
+                              connected.connecting = nullptr;
+                              if (error)
+                              {
+                                  return;
+                              }
+                              connected.heard = std::chrono::time_point_cast<duration>(
+                                  std::chrono::steady_clock::now());
+                              connected.connection =
+                                  std::make_shared<frame_connection>(std::move(*socket));
+                              on_connected_(connected.connection);
+                          });
+}
+
+void peer_links::hear(time_point now, const frame_connection* connection)
+{
+    for (auto& [slot, peer] : links_)
+    {
+        if (peer.connection.get() == connection)
+        {
+            peer.heard = now;
+        }
+    }
+}
+
+instance_slot peer_links::lose(const frame_connection* connection)
+{
+    for (auto& [slot, peer] : links_)
+    {
+        if (connection != nullptr && peer.connection.get() == connection)
+        {
+            peer.connection = nullptr;
+            return slot;
+        }
+    }
+    return 0;
+}
+
+peer_links::connection_pointer peer_links::connection_of(instance_slot slot) const
+{
+    const auto found = links_.find(slot);
+    return found == links_.end() ? nullptr : found->second.connection;
+}
+
+bool peer_links::is_outgoing(const frame_connection* connection) const
+{
+    for (const auto& [slot, peer] : links_)
+    {
+        if (peer.connection.get() == connection)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::vector<std::pair<instance_slot, endpoint>> peer_links::known() const
+{
+    std::vector<std::pair<instance_slot, endpoint>> all;
+    for (const auto& [slot, peer] : links_)
+    {
+        all.emplace_back(slot, peer.address);
+    }
+    return all;
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/platform_binding.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "carawayshelf_catalogue/traffic_configuration.hpp"
+#include "carawayshelf_core/error.hpp"
+#include "carawayshelf_io/http_server.hpp"
+#include "carawayshelf_packets/packet_agent.hpp"
+#include "carawayshelf_packets/packet_format.hpp"
+
+#include <functional>
+#include <string>
+
+namespace carawayshelf
+{
+
+/** Outcome of an operator's order or read. */
+struct order_outcome
+{
+    error_kind error = error_kind::none;
+    std::string detail;
+    std::string content; ///< Of a read: what the operator had sent.
+};
+
+using order_handler = std::function<void(const order_outcome&)>;
+
+/** What operators may order over HTTP, at any control instance. Calls and handlers run on the
+    control thread. */
+class operator_orders
+{
+public:
+    virtual ~operator_orders() = default;
+
+    /** Accepted once a majority of the control instances has synced it.
+        Errors: invalid_entry, version_conflict, no_leader, not_confirmed. */
+    virtual void replace(const traffic_configuration& configuration, order_handler done) = 0;
+
+    /** Reads the newest configuration. Errors: no_leader, not_confirmed, unknown_service when there
+        is none yet. */
+    virtual void read(order_handler done) = 0;
+
+    /** Takes a failure domain out of service or puts it back in.
+        Errors: unknown_domain, no_leader, not_confirmed. */
+    virtual void mark(const std::string& domain, bool out, order_handler done) = 0;
+};
+
+/** Where an agent's backend server announces itself. Calls and handlers run on the control thread.
+ */
+class announcement_desk
+{
+public:
+    virtual ~announcement_desk() = default;
+
+    /** The handler is called once the gate keeps to what was announced. */
+    virtual void announce(const server_announcement& announcement, std::function<void()> done) = 0;
+
+    /** The backend server is about to end. */
+    virtual void depart(const std::string& id, std::function<void()> done) = 0;
+};
+
+/** What a platform speaks: its packets and its HTTP calls. Names and formats only; whatever is
+    decided is decided behind the interfaces above. Thread-safe: implementations hold no state. */
+class platform_binding
+{
+public:
+    virtual ~platform_binding() = default;
+
+    virtual const packet_format& packets() const = 0;
+
+    /** Answers an operator's call. */
+    virtual void handle_order(operator_orders& orders, const http_request& request,
+                              const http_responder& respond) const = 0;
+
+    /** Answers a backend server's call. */
+    virtual void handle_announcement(announcement_desk& desk, const http_request& request,
+                                     const http_responder& respond) const = 0;
+
+    /** Answers the question whether a daemon is ready. */
+    virtual void handle_readiness(bool is_ready, const http_request& request,
+                                  const http_responder& respond) const = 0;
+};
+
+} // namespace carawayshelf
--- a/modules/carawayshelf_io/settings.cpp
+++ b/modules/carawayshelf_io/settings.cpp
@@ -128,6 +128,61 @@
         faults_.push_back(file_ + ": [" + section + "] " + key + " is '" + seen + "': " + remedy);
     }
 
+    bool read_flag(const char* section, const char* key)
+    {
+        const std::optional<std::string> text = find(section, key, false);
+        if (text && *text != "true" && *text != "false")
+        {
+            add_fault(section, key, *text, "choose true or false");
+        }
+        return text && *text == "true";
+    }
+
+    flow_protocol read_protocol(const char* section)
+    {
+        const std::optional<std::string> text = find(section, "flows", false);
+        const std::optional<flow_protocol> value =
+            text ? flow_protocol_names.find(*text) : std::optional(flow_protocol::coap);
+        if (!value)
+        {
+            add_fault(section, "flows", *text, "choose coap or packets");
+        }
+        return value.value_or(flow_protocol::coap);
+    }
+
+    /** Names with commas between. */
+    std::vector<std::string> read_names(const char* section, const char* key)
+    {
+        std::vector<std::string> names;
+        std::istringstream parts(find(section, key, false).value_or(""));
+        std::string part;
+        while (std::getline(parts, part, ','))
+        {
+            if (!is_valid_name(part))
+            {
+                add_fault(section, key, part, "use 1 to 63 of a-z, 0-9, '-' and '.'");
+            }
+            names.push_back(part);
+        }
+        return names;
+    }
+
+    /** Addresses of control instances: listed, or those of seeds at one port. */
+    std::vector<endpoint> read_control()
+    {
+        if (!find("control", "seeds", false))
+        {
+            return read_endpoints("control", "instances");
+        }
+        std::vector<endpoint> seeds = read_endpoints("control", "seeds");
+        const std::uint32_t port = read_number("control", "port", 0, 1, 65535);
+        for (endpoint& seed : seeds)
+        {
+            seed.port = static_cast<std::uint16_t>(port);
+        }
+        return seeds;
+    }
+
     failure finish()
     {
         for (const auto& [section, keys] : tree_)
@@ -193,11 +248,20 @@
     settings_reader reader(file);
     loaded.name = reader.read_name("balancer", "name");
     loaded.domain = reader.read_name("balancer", "domain");
+    loaded.protocol = reader.read_protocol("balancer");
     loaded.data = reader.read_endpoint("balancer", "data_address", true);
+    if (loaded.protocol == flow_protocol::packets)
+    {
+        loaded.entry = reader.read_endpoint("balancer", "entry", true);
+        loaded.readiness = reader.read_endpoint("balancer", "ready_address", true);
+        loaded.flow_cache_entries = reader.read_number("balancer", "flow_cache_entries",
+                                                       loaded.flow_cache_entries, 1024, 1U << 24U);
+        loaded.stop_ms = reader.read_number("balancer", "stop_ms", loaded.stop_ms, 0, 60000);
+    }
     loaded.entry_address = reader.read_address("balancer", "entry_address");
     loaded.workers = reader.read_number("balancer", "workers", 1, 1, 64);
     loaded.metrics = reader.read_endpoint("metrics", "address", false);
-    loaded.control = reader.read_endpoints("control", "instances");
+    loaded.control = reader.read_control();
     return reader.finish();
 }
 
@@ -207,23 +271,48 @@
     loaded.name = reader.read_name("agent", "name");
     loaded.domain = reader.read_name("agent", "domain");
     loaded.data = reader.read_endpoint("agent", "data_address", true);
+    loaded.protocol = reader.read_protocol("agent");
     loaded.announce = reader.read_endpoint("agent", "announce_address", true);
+    if (loaded.protocol == flow_protocol::packets)
+    {
+        loaded.service = reader.read_name("agent", "service");
+        loaded.server = reader.read_endpoint("agent", "server", true);
+        loaded.server_side = reader.read_endpoint("agent", "server_side", true);
+        loaded.readiness = reader.read_endpoint("agent", "ready_address", false);
+        loaded.client_port = static_cast<std::uint16_t>(
+            reader.read_number("agent", "client_port", loaded.data.port, 1, 65535));
+        loaded.announce_ms =
+            reader.read_number("agent", "announce_ms", loaded.announce_ms, 50, 60000);
+    }
     loaded.metrics = reader.read_endpoint("metrics", "address", false);
-    loaded.control = reader.read_endpoints("control", "instances");
+    loaded.control = reader.read_control();
     return reader.finish();
 }
 
 failure load_settings(const std::string& file, control_settings& loaded)
 {
     settings_reader reader(file);
-    loaded.slot = static_cast<std::uint16_t>(reader.read_number("control", "slot", 0, 1, 64));
     loaded.data_folder = reader.read_text("control", "data_folder");
-    loaded.peers = reader.read_endpoints("control", "instances");
+    loaded.address = reader.read_endpoint("control", "address", false);
+    loaded.finds_peers = !loaded.address.is_none();
+    if (loaded.finds_peers)
+    {
+        loaded.slot = loaded.address.address;
+        loaded.peers = reader.read_control();
+        loaded.is_first_start = reader.read_flag("control", "first_start");
+        loaded.orders = reader.read_endpoint("control", "orders_address", false);
+        loaded.domains = reader.read_names("control", "domains");
+    }
+    else
+    {
+        loaded.slot = reader.read_number("control", "slot", 0, 1, 64);
+        loaded.peers = reader.read_endpoints("control", "instances");
+    }
     loaded.lease_ms = reader.read_number("control", "lease_ms", loaded.lease_ms, 500, 60000);
     loaded.snapshot_every =
         reader.read_number("control", "snapshot_every", loaded.snapshot_every, 10, 1000000);
     loaded.metrics = reader.read_endpoint("metrics", "address", false);
-    if (loaded.slot < 1 || loaded.slot > loaded.peers.size())
+    if (!loaded.finds_peers && (loaded.slot < 1 || loaded.slot > loaded.peers.size()))
     {
         reader.add_fault("control", "slot", std::to_string(loaded.slot),
                          "choose the place of this instance in 'instances', from 1 to " +
--- a/modules/carawayshelf_io/settings.hpp
+++ b/modules/carawayshelf_io/settings.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "carawayshelf_catalogue/member.hpp"
+#include "carawayshelf_consensus/voter_renewal.hpp"
 #include "carawayshelf_core/endpoint.hpp"
 #include "carawayshelf_core/error.hpp"
 
@@ -13,12 +15,17 @@
 /** Settings of a balancer. */
 struct balancer_settings
 {
+    flow_protocol protocol = flow_protocol::coap;
     std::string name;
     std::string domain;
     endpoint data;                   ///< First worker's envelope socket; others follow it.
     std::uint32_t entry_address = 0; ///< When set, services are bound here instead of at their own
                                      ///< address, for fabrics that rewrite the destination.
     std::uint32_t workers = 1;       ///< Traffic threads.
+    endpoint entry;                  ///< Packets: where the routers send to.
+    endpoint readiness;              ///< Packets: HTTP address that tells whether it is ready.
+    std::uint32_t flow_cache_entries = 8192; ///< Packets: flows whose agent is remembered.
+    std::uint32_t stop_ms = 2000; ///< Packets: how long it relays on after a request to stop.
     endpoint metrics;
     std::vector<endpoint> control;
 };
@@ -26,10 +33,17 @@
 /** Settings of an agent. */
 struct agent_daemon_settings
 {
+    flow_protocol protocol = flow_protocol::coap;
     std::string name;
     std::string domain;
     endpoint data;
-    endpoint announce; ///< Where its backend server registers itself.
+    endpoint announce;    ///< Where its backend server registers itself; packets: an HTTP address.
+    std::string service;  ///< Packets: what its backend server serves.
+    endpoint server;      ///< Packets: where the backend server receives.
+    endpoint server_side; ///< Packets: where the backend server sends to.
+    endpoint readiness;   ///< Packets: HTTP address that tells whether it is ready.
+    std::uint16_t client_port = 0;    ///< Packets: port of every client's router.
+    std::uint32_t announce_ms = 1000; ///< Packets: how often the backend server announces itself.
     endpoint metrics;
     std::vector<endpoint> control;
 };
@@ -37,10 +51,16 @@
 /** Settings of a control instance. */
 struct control_settings
 {
-    std::uint16_t slot = 0; ///< Its place among the peers, from 1.
+    instance_slot slot = 0; ///< Its place among the peers, from 1; or its IPv4 address.
     std::string data_folder;
     endpoint metrics;
     std::vector<endpoint> peers; ///< Addresses of all control instances, in the order of slots.
+    endpoint address;            ///< Its own address among them.
+    /** Instances find each other: slots are IPv4 addresses, `peers` are the seeds. */
+    bool finds_peers = false;
+    bool is_first_start = false;      ///< Of the whole cluster: the seeds become its first voters.
+    endpoint orders;                  ///< HTTP address for operators.
+    std::vector<std::string> domains; ///< Failure domains that operators may name.
     std::uint32_t lease_ms = 3000;
     std::uint32_t snapshot_every = 5000; ///< Records between two snapshots.
 };
--- a/modules/carawayshelf_io/udp_socket.hpp
+++ b/modules/carawayshelf_io/udp_socket.hpp
@@ -57,6 +57,12 @@
         return {buffers_[index].data(), messages_[index].msg_len};
     }
 
+    /** The same bytes, to be changed in place. */
+    char* mutable_datagram(std::size_t index)
+    {
+        return buffers_[index].data();
+    }
+
     endpoint sender(std::size_t index) const
     {
         return from_socket_address(senders_[index]);
--- /dev/null
+++ b/modules/carawayshelf_io/wake_up.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "carawayshelf_io/unique_fd.hpp"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <cstdint>
+
+namespace carawayshelf
+{
+
+/** Wakes a thread that waits for sockets. ring() is thread-safe. */
+class wake_up
+{
+public:
+    wake_up() : fd_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    {
+    }
+
+    int fd() const
+    {
+        return fd_.get();
+    }
+
+    void ring()
+    {
+        const std::uint64_t one = 1;
+        // Fails only when a wake-up is pending already.
+        [[maybe_unused]] const ssize_t written = ::write(fd_.get(), &one, sizeof(one));
+    }
+
+    void clear()
+    {
+        std::uint64_t count = 0;
+        // Fails only when there is nothing to clear.
+        [[maybe_unused]] const ssize_t size = ::read(fd_.get(), &count, sizeof(count));
+    }
+
+private:
+    unique_fd fd_;
+};
+
+} // namespace carawayshelf
--- a/scripts/format.sh
+++ b/scripts/format.sh
@@ -2,7 +2,7 @@
 # Formats all sources; with --check it only tells what is not formatted.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t sources < <(git ls-files 'modules/*.?pp' 'programs/*.?pp' 'tests/*.?pp' 'benchmarks/*.?pp')
+mapfile -t sources < <(git ls-files 'modules/*.?pp' 'programs/*.?pp' 'tests/*.?pp' 'benchmarks/*.?pp' 'platform/*.?pp')
 if [ "${1:-}" = --check ]; then
     clang-format --dry-run --Werror "${sources[@]}"
 else
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,7 +3,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 [ -f build/release/compile_commands.json ] || cmake --preset release >/dev/null || exit 1
-mapfile -t sources < <(git ls-files 'modules/*.cpp' 'programs/*.cpp' 'tests/*.cpp' 'benchmarks/*.cpp')
+mapfile -t sources < <(git ls-files 'modules/*.cpp' 'programs/*.cpp' 'tests/*.cpp' 'benchmarks/*.cpp' 'platform/*.cpp')
 found="$(printf '%s\n' "${sources[@]}" |
     xargs -P "$(nproc)" -n 4 clang-tidy -p build/release --quiet 2>/dev/null |
     grep -E '(warning|error):' | sort -u)"
