--- a/modules/carawayshelf_consensus/consensus_core.cpp
+++ b/modules/carawayshelf_consensus/consensus_core.cpp
@@ -19,6 +19,7 @@
       log_(stored.base, stored.records), random_(random_seed | 1U), commit_(stored.base.index),
       applied_(stored.base.index), persisted_(log_.last_index()), handed_out_(log_.last_index())
 {
+    started_ = now;
     reset_election_timer(now);
 }
 
@@ -87,8 +88,11 @@
 
 void consensus_core::reset_election_timer(time_point now)
 {
-    const std::uint64_t span = static_cast<std::uint64_t>(settings_.election_timeout.count());
-    election_due_ = now + settings_.election_timeout + duration(next_random() % span);
+    const bool is_starting = leader_heard_ == time_point() && now - started_ < settings_.start_phase;
+    const duration timeout =
+        is_starting ? settings_.first_election_timeout : settings_.election_timeout;
+    const std::uint64_t span = static_cast<std::uint64_t>(timeout.count());
+    election_due_ = now + timeout + duration(next_random() % span);
 }
 
 void consensus_core::tick(time_point now)
--- a/modules/carawayshelf_consensus/consensus_core.hpp
+++ b/modules/carawayshelf_consensus/consensus_core.hpp
@@ -18,6 +18,10 @@
 {
     duration heartbeat = std::chrono::milliseconds(50);
     duration election_timeout = std::chrono::milliseconds(300); ///< Up to twice this, at random.
+    /** The same right after a start: a leader that is there is not deposed, since those who hear it
+        refuse their pre-vote. */
+    duration first_election_timeout = std::chrono::milliseconds(60);
+    duration start_phase = std::chrono::seconds(1); ///< How long that holds after a start.
     std::size_t most_records = 1024;                            ///< Records in one append.
     std::size_t most_bytes = std::size_t{4} * 1024 * 1024;      ///< Payload bytes in one append.
 };
@@ -207,6 +211,7 @@
     consensus_role role_ = consensus_role::follower;
     instance_id leader_ = 0;
     time_point leader_heard_;
+    time_point started_;
     time_point election_due_;
     time_point heartbeat_due_;
     bool in_pre_vote_ = false;
--- a/modules/carawayshelf_io/control_client.cpp
+++ b/modules/carawayshelf_io/control_client.cpp
@@ -13,10 +13,10 @@
 {
 
 constexpr std::chrono::milliseconds heartbeat_interval(250);
-constexpr std::chrono::milliseconds retry_interval(100);
+constexpr std::chrono::milliseconds retry_interval(50);
 
 /** An attempt to connect that hangs for this long is given up. */
-constexpr duration connect_limit = std::chrono::milliseconds(600);
+constexpr duration connect_limit = std::chrono::milliseconds(200);
 
 /** A control instance that answers no heartbeat for this long is given up: three heartbeats. */
 constexpr duration silent_limit = std::chrono::milliseconds(800);
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -892,6 +892,7 @@
 void control_server::on_timer()
 {
     resume_storage();
+    peers_.connect_missing(now());
     if (is_storing_)
     {
         core_->tick(now());
--- a/modules/carawayshelf_io/peer_links.cpp
+++ b/modules/carawayshelf_io/peer_links.cpp
@@ -9,7 +9,10 @@
 {
 
 /** An attempt to connect that hangs for this long is given up: many round trips. */
-constexpr duration connect_limit = std::chrono::milliseconds(800);
+constexpr duration connect_limit = std::chrono::milliseconds(200);
+
+/** Pause after a refused attempt: short beside the start of an instance. */
+constexpr duration retry_interval = std::chrono::milliseconds(30);
 
 /** An instance that nobody names for this long is forgotten. */
 constexpr duration forget_after = std::chrono::seconds(30);
@@ -54,9 +57,18 @@
         {
             links_.erase(current);
         }
-        else if (!peer.connecting || now - peer.since > connect_limit)
+    }
+    connect_missing(now);
+}
+
+void peer_links::connect_missing(time_point now)
+{
+    for (auto& [slot, peer] : links_)
+    {
+        const duration waited = now - peer.since;
+        if (!peer.connection && waited >= (peer.connecting ? connect_limit : retry_interval))
         {
-            connect(now, current->first, peer);
+            connect(now, slot, peer);
         }
     }
 }
--- a/modules/carawayshelf_io/peer_links.hpp
+++ b/modules/carawayshelf_io/peer_links.hpp
@@ -34,10 +34,13 @@
     /** Learns of an instance. Its own slot is left out. */
     void learn(time_point now, instance_slot slot, const endpoint& address);
 
-    /** Connects what is not connected, probes what is, and closes what is silent. Instances that
-        were neither connected nor learned of for a while are forgotten. */
+    /** Probes what is connected and closes what is silent. Instances that were neither connected
+        nor learned of for a while are forgotten. */
     void maintain(time_point now);
 
+    /** Connects what is not connected. */
+    void connect_missing(time_point now);
+
     /** A frame arrived on a connection. */
     void hear(time_point now, const frame_connection* connection);
 
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -208,7 +208,8 @@
     {
         return pass_reason::full;
     }
-    if (is_cold(now) && !cold_.take(now, table_->cold_requests_per_s(server_.service)))
+    const double cold_rate = table_->cold_requests_per_s(server_.service);
+    if (is_cold(now) && cold_rate > 0.0 && !cold_.take(now, cold_rate))
     {
         return pass_reason::cold;
     }
