Metrics on the control thread, a shorter stop of balancers, and a log of packet decisions

The page is now written by prometheus-cpp's serializer and served by the control thread; balancers relay on for 1.2 s instead of 2 s.

--- a/modules/carawayshelf_io/agent_daemon.cpp
+++ b/modules/carawayshelf_io/agent_daemon.cpp
@@ -285,7 +285,7 @@
         }
     };
     signals.async_wait(on_signal);
-    metrics_page metrics;
+    metrics_page metrics(io);
     if (failure failed = metrics.start(settings.metrics, [&daemon] { return daemon.samples(); }))
     {
         return failed;
--- a/modules/carawayshelf_io/balancer_daemon.cpp
+++ b/modules/carawayshelf_io/balancer_daemon.cpp
@@ -155,7 +155,7 @@
             }
         });
     balancer_daemon daemon(io, settings);
-    metrics_page metrics;
+    metrics_page metrics(io);
     if (failure failed = metrics.start(settings.metrics, [&daemon] { return daemon.samples(); }))
     {
         return failed;
--- a/modules/carawayshelf_io/control_daemon.cpp
+++ b/modules/carawayshelf_io/control_daemon.cpp
@@ -22,7 +22,7 @@
     http_server orders(
         io, [&server, &platform](const http_request& request, const http_responder& respond)
         { platform.handle_order(server, request, respond); });
-    metrics_page metrics;
+    metrics_page metrics(io);
     if (failure failed = metrics.start(settings.metrics, [&server] { return server.samples(); }))
     {
         return failed;
--- a/modules/carawayshelf_io/metrics_page.cpp
+++ b/modules/carawayshelf_io/metrics_page.cpp
@@ -1,8 +1,7 @@
 #include "carawayshelf_io/metrics_page.hpp"
 
-#include <prometheus/collectable.h>
-#include <prometheus/exposer.h>
 #include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
 
 #include <map>
 #include <utility>
@@ -10,56 +9,48 @@
 namespace carawayshelf
 {
 
-/** Turns samples into the library's metric families. */
-class metrics_page::collector : public prometheus::Collectable
+namespace
 {
-public:
-    explicit collector(source read) : read_(std::move(read))
-    {
-    }
 
-    std::vector<prometheus::MetricFamily> Collect() const override
+/** Turns samples into the library's metric families. */
+std::vector<prometheus::MetricFamily> collect_families(const std::vector<metric_sample>& samples)
+{
+    std::map<std::string, prometheus::MetricFamily> families;
+    for (const metric_sample& sample : samples)
     {
-        std::map<std::string, prometheus::MetricFamily> families;
-        for (const metric_sample& sample : read_())
-        {
-            prometheus::MetricFamily& family = families[sample.metric];
-            family.name = "carawayshelf_" + sample.metric;
-            family.type =
-                sample.is_counter ? prometheus::MetricType::Counter : prometheus::MetricType::Gauge;
-            prometheus::ClientMetric metric;
-            if (!sample.reason.empty())
-            {
-                metric.label.push_back({"reason", sample.reason});
-            }
-            metric.counter.value = sample.value;
-            metric.gauge.value = sample.value;
-            family.metric.push_back(metric);
-        }
-        std::vector<prometheus::MetricFamily> collected;
-        collected.reserve(families.size());
-        for (const auto& [name, family] : families)
+        prometheus::MetricFamily& family = families[sample.metric];
+        family.name = "carawayshelf_" + sample.metric;
+        family.type =
+            sample.is_counter ? prometheus::MetricType::Counter : prometheus::MetricType::Gauge;
+        prometheus::ClientMetric metric;
+        if (!sample.reason.empty())
         {
-            collected.push_back(family);
+            metric.label.push_back({"reason", sample.reason});
         }
-        return collected;
+        metric.counter.value = sample.value;
+        metric.gauge.value = sample.value;
+        family.metric.push_back(metric);
     }
-
-private:
-    source read_;
-};
-
-struct metrics_page::exposer_holder
-{
-    explicit exposer_holder(const std::string& address) : exposer(address, 1)
+    std::vector<prometheus::MetricFamily> collected;
+    collected.reserve(families.size());
+    for (const auto& [name, family] : families)
     {
+        collected.push_back(family);
     }
+    return collected;
+}
 
-    prometheus::Exposer exposer;
-};
+} // namespace
 
-metrics_page::metrics_page() = default;
-metrics_page::~metrics_page() = default;
+metrics_page::metrics_page(boost::asio::io_context& io)
+    : server_(io,
+              [this](const http_request& /*request*/, const http_responder& respond)
+              {
+                  respond({200, "text/plain; version=0.0.4",
+                           prometheus::TextSerializer().Serialize(collect_families(read_()))});
+              })
+{
+}
 
 failure metrics_page::start(const endpoint& address, source read)
 {
@@ -67,18 +58,11 @@
     {
         return {};
     }
-    try
-    {
-        exposer_ = std::make_unique<exposer_holder>(to_string(address));
-    }
-    catch (const std::exception& error)
+    read_ = std::move(read);
+    if (const failure failed = server_.start(address))
     {
-        return make_failure(error_kind::invalid_settings,
-                            "[metrics] address is '" + to_string(address) + "', which can't be " +
-                                "bound: choose a free one (" + error.what() + ")");
+        return make_failure(error_kind::invalid_settings, "[metrics] address: " + failed.detail);
     }
-    collector_ = std::make_shared<collector>(std::move(read));
-    exposer_->exposer.RegisterCollectable(collector_);
     return {};
 }
 
--- a/modules/carawayshelf_io/metrics_page.hpp
+++ b/modules/carawayshelf_io/metrics_page.hpp
@@ -2,9 +2,9 @@
 
 #include "carawayshelf_core/endpoint.hpp"
 #include "carawayshelf_core/error.hpp"
+#include "carawayshelf_io/http_server.hpp"
 
 #include <functional>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,24 +35,22 @@
     }
 }
 
-/** The Prometheus page of a daemon, served by prometheus-cpp on a thread of its own. */
+/** The Prometheus page of a daemon, written by prometheus-cpp and served on the io_context's thread.
+ */
 class metrics_page
 {
 public:
     using source = std::function<std::vector<metric_sample>()>;
 
-    metrics_page();
-    ~metrics_page();
+    explicit metrics_page(boost::asio::io_context& io);
 
-    /** Starts to serve. Does nothing for an address of none. The source is called from the page's
-        own threads. Errors: usage, when the address can't be bound. */
+    /** Starts to serve. Does nothing for an address of none.
+        Errors: invalid_settings, when the address can't be bound. */
     failure start(const endpoint& address, source read);
 
 private:
-    class collector;
-    struct exposer_holder;
-    std::shared_ptr<collector> collector_;
-    std::unique_ptr<exposer_holder> exposer_;
+    source read_;
+    http_server server_;
 };
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_io/packet_agent_daemon.cpp
+++ b/modules/carawayshelf_io/packet_agent_daemon.cpp
@@ -251,7 +251,7 @@
     boost::asio::io_context io;
     packet_agent_daemon daemon(io, settings, platform);
     daemon_signals signals(io, [&daemon] { daemon.begin_stop(); });
-    metrics_page metrics;
+    metrics_page metrics(io);
     if (failure failed = metrics.start(settings.metrics, [&daemon] { return daemon.samples(); }))
     {
         return failed;
--- a/modules/carawayshelf_io/packet_agent_worker.cpp
+++ b/modules/carawayshelf_io/packet_agent_worker.cpp
@@ -31,7 +31,7 @@
 packet_agent_worker::packet_agent_worker(const agent_daemon_settings& settings,
                                          const packet_format& format, packet_counters& counters)
     : settings_(settings), sockets_(format, settings.client_port, counters),
-      core_(make_options(settings), format, sockets_, counters), counters_(counters)
+      core_(make_options(settings), format, sockets_, counters, decisions_), counters_(counters)
 {
 }
 
--- a/modules/carawayshelf_io/packet_agent_worker.hpp
+++ b/modules/carawayshelf_io/packet_agent_worker.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carawayshelf_io/decision_log.hpp"
 #include "carawayshelf_io/packet_sockets.hpp"
 #include "carawayshelf_io/settings.hpp"
 #include "carawayshelf_io/wake_up.hpp"
@@ -39,6 +40,7 @@
 
     agent_daemon_settings settings_;
     packet_sockets sockets_;
+    decision_log decisions_;
     packet_agent core_;
     packet_counters& counters_;
     wake_up wake_;
--- a/modules/carawayshelf_io/packet_balancer_daemon.cpp
+++ b/modules/carawayshelf_io/packet_balancer_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "carawayshelf_io/control_client.hpp"
 #include "carawayshelf_io/daemon_signals.hpp"
+#include "carawayshelf_io/decision_log.hpp"
 #include "carawayshelf_io/http_server.hpp"
 #include "carawayshelf_io/json_log.hpp"
 #include "carawayshelf_io/metrics_page.hpp"
@@ -38,7 +39,7 @@
                            packet_counters& counters)
         : settings_(settings), sockets_(platform.packets(), settings.entry.port, counters),
           core_({settings.data, settings.domain, settings.flow_cache_entries}, platform.packets(),
-                sockets_, counters),
+                sockets_, counters, decisions_),
           counters_(counters), table_(std::make_shared<const packet_table>())
     {
     }
@@ -151,6 +152,7 @@
 
     const balancer_settings& settings_;
     packet_sockets sockets_;
+    decision_log decisions_;
     packet_balancer core_;
     packet_counters& counters_;
     unique_fd entry_;
@@ -268,7 +270,7 @@
     boost::asio::io_context io;
     packet_balancer_daemon daemon(io, settings, platform);
     daemon_signals signals(io, [&daemon] { daemon.begin_stop(); });
-    metrics_page metrics;
+    metrics_page metrics(io);
     if (failure failed = metrics.start(settings.metrics, [&daemon] { return daemon.samples(); }))
     {
         return failed;
--- a/modules/carawayshelf_io/settings.hpp
+++ b/modules/carawayshelf_io/settings.hpp
@@ -25,7 +25,9 @@
     endpoint entry;                  ///< Packets: where the routers send to.
     endpoint readiness;              ///< Packets: HTTP address that tells whether it is ready.
     std::uint32_t flow_cache_entries = 8192; ///< Packets: flows whose agent is remembered.
-    std::uint32_t stop_ms = 2000; ///< Packets: how long it relays on after a request to stop.
+    /** Packets: how long it relays on after a request to stop: routers look twice a second and
+        drop a balancer after two misses. */
+    std::uint32_t stop_ms = 1200;
     endpoint metrics;
     std::vector<endpoint> control;
 };
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -39,8 +39,8 @@
 } // namespace
 
 packet_agent::packet_agent(const options& own, const packet_format& format, packet_port& port,
-                           packet_counters& counters)
-    : own_(own), format_(format), port_(port), counters_(counters),
+                           packet_counters& counters, packet_observer& observer)
+    : own_(own), format_(format), port_(port), counters_(counters), observer_(observer),
       table_(std::make_shared<const packet_table>())
 {
 }
@@ -124,16 +124,12 @@
     if (route == nullptr)
     {
         const bool may_say_so = is_table_fresh(now) && envelope.held <= table_->held();
-        if (!may_say_so)
+        if (!may_say_so || head.is_reset)
         {
-            counters_.drops.add(packet_drop::no_route);
-        }
-        else if (!head.is_reset)
-        {
-            counters_.resets.add(packet_reset::no_route);
-            port_.send_reset({head.source, head.destination},
-                             head.is_opening ? 0 : head.acknowledged);
+            note_dropped(packet_drop::no_route, envelope, head);
+            return;
         }
+        note_reset(packet_reset::no_route, envelope, head);
         return;
     }
     if (head.is_opening)
@@ -162,7 +158,7 @@
     }
     if (envelope.held > table_->held())
     {
-        counters_.drops.add(packet_drop::stale_table);
+        note_dropped(packet_drop::stale_table, envelope, head);
         return;
     }
     const pass_reason refusal = check_gate(now, envelope, route);
@@ -313,7 +309,7 @@
     const packet_route* route = table_->find_route(head.destination);
     if (visit == nullptr || route == nullptr)
     {
-        counters_.drops.add(packet_drop::no_route);
+        note_dropped(packet_drop::no_route, packet_envelope{}, head);
         return;
     }
     format_.set_mark(packet, 0);
@@ -324,6 +320,7 @@
                            const packet_route& route, std::string_view bytes, pass_reason why)
 {
     counters_.passes.add(why);
+    note("passed", pass_reason_names.name(why), envelope, head);
     envelope.held = std::max(envelope.held, table_->held());
     ++envelope.position;
     while (envelope.position < envelope.candidate_count &&
@@ -334,7 +331,7 @@
     if (envelope.position >= envelope.candidate_count &&
         !add_unvisited(envelope, route, head.is_opening))
     {
-        give_up(now, {head.source, head.destination}, head);
+        give_up(now, envelope, head);
         return;
     }
     port_.send_envelope(envelope.candidates[envelope.position], envelope, bytes);
@@ -361,24 +358,55 @@
     return envelope.candidate_count > before;
 }
 
-void packet_agent::give_up(time_point now, const packet_flow& key, const packet_head& head)
+void packet_agent::give_up(time_point now, const packet_envelope& envelope,
+                           const packet_head& head)
 {
     if (head.is_opening)
     {
-        counters_.resets.add(packet_reset::refused);
-        port_.send_reset(key, 0);
+        note_reset(packet_reset::refused, envelope, head);
         return;
     }
+    const packet_flow key{head.source, head.destination};
     const auto [first, is_new] = lost_flows_.emplace(key, now);
     const bool is_confirmed = now - first->second >= lost_flow_confirmation;
     if (is_new || !is_confirmed || !is_table_fresh(now) || head.is_reset)
     {
-        counters_.drops.add(packet_drop::lost_flow);
+        note_dropped(packet_drop::lost_flow, envelope, head);
         return;
     }
     lost_flows_.erase(first);
-    counters_.resets.add(packet_reset::nowhere);
-    port_.send_reset(key, head.acknowledged);
+    note_reset(packet_reset::nowhere, envelope, head);
+}
+
+void packet_agent::note_dropped(packet_drop reason, const packet_envelope& envelope,
+                                const packet_head& head)
+{
+    counters_.drops.add(reason);
+    note("dropped", packet_drop_names.name(reason), envelope, head);
+}
+
+void packet_agent::note_reset(packet_reset reason, const packet_envelope& envelope,
+                              const packet_head& head)
+{
+    counters_.resets.add(reason);
+    note("reset", packet_reset_names.name(reason), envelope, head);
+    port_.send_reset({head.source, head.destination}, reset_sequence(head));
+}
+
+void packet_agent::note(const char* what, std::string_view reason, const packet_envelope& envelope,
+                        const packet_head& head)
+{
+    packet_decision decision;
+    decision.what = what;
+    decision.reason = reason;
+    decision.flow = {head.source, head.destination};
+    decision.is_opening = head.is_opening;
+    decision.held = table_->held();
+    decision.envelope_held = envelope.held;
+    decision.position = envelope.position;
+    decision.candidate_count = envelope.candidate_count;
+    decision.load = busy_;
+    observer_.note(decision);
 }
 
 void packet_agent::tell_holder(const packet_flow& key, flow& item)
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -3,6 +3,7 @@
 #include "carawayshelf_packets/cold_allowance.hpp"
 #include "carawayshelf_packets/packet_counters.hpp"
 #include "carawayshelf_packets/packet_format.hpp"
+#include "carawayshelf_packets/packet_observer.hpp"
 #include "carawayshelf_packets/packet_port.hpp"
 #include "carawayshelf_packets/packet_table.hpp"
 #include "carawayshelf_packets/visit_ring.hpp"
@@ -41,7 +42,7 @@
     };
 
     packet_agent(const options& own, const packet_format& format, packet_port& port,
-                 packet_counters& counters);
+                 packet_counters& counters, packet_observer& observer);
 
     /** Puts a new table in force. */
     void set_table(time_point now, std::shared_ptr<const packet_table> table);
@@ -120,7 +121,11 @@
     void pass_on(time_point now, packet_envelope envelope, const packet_head& head,
                  const packet_route& route, std::string_view bytes, pass_reason why);
     bool add_unvisited(packet_envelope& envelope, const packet_route& route, bool for_new) const;
-    void give_up(time_point now, const packet_flow& flow, const packet_head& head);
+    void give_up(time_point now, const packet_envelope& envelope, const packet_head& head);
+    void note_dropped(packet_drop reason, const packet_envelope& envelope, const packet_head& head);
+    void note_reset(packet_reset reason, const packet_envelope& envelope, const packet_head& head);
+    void note(const char* what, std::string_view reason, const packet_envelope& envelope,
+              const packet_head& head);
     void tell_holder(const packet_flow& key, flow& item);
     void set_busy(flow& item, bool busy);
     void forget(flow_map::iterator item);
@@ -130,6 +135,7 @@
     const packet_format& format_;
     packet_port& port_;
     packet_counters& counters_;
+    packet_observer& observer_;
     std::shared_ptr<const packet_table> table_;
     time_point confirmed_;
     flow_map flows_;
--- a/modules/carawayshelf_packets/packet_balancer.cpp
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -22,8 +22,8 @@
 } // namespace
 
 packet_balancer::packet_balancer(const options& own, const packet_format& format, packet_port& port,
-                                 packet_counters& counters)
-    : own_(own), format_(format), port_(port), counters_(counters), cache_(own.flow_cache_entries)
+                                 packet_counters& counters, packet_observer& observer)
+    : own_(own), format_(format), port_(port), counters_(counters), observer_(observer), cache_(own.flow_cache_entries)
 {
 }
 
@@ -44,15 +44,15 @@
     const packet_route* route = table.find_route(head.destination);
     if (route == nullptr)
     {
-        if (!is_fresh)
+        if (!is_fresh || head.is_reset)
         {
             counters_.drops.add(packet_drop::no_route);
+            note("dropped", packet_drop_names.name(packet_drop::no_route), envelope, head);
+            return;
         }
-        else if (!head.is_reset)
-        {
-            counters_.resets.add(packet_reset::no_route);
-            port_.send_reset(envelope.flow, reset_sequence(head));
-        }
+        counters_.resets.add(packet_reset::no_route);
+        note("reset", packet_reset_names.name(packet_reset::no_route), envelope, head);
+        port_.send_reset(envelope.flow, reset_sequence(head));
         return;
     }
     if (head.is_opening)
@@ -66,12 +66,27 @@
     if (envelope.candidate_count == 0)
     {
         counters_.drops.add(packet_drop::no_member);
+        note("dropped", packet_drop_names.name(packet_drop::no_member), envelope, head);
         return;
     }
     ++counters_.relayed;
     port_.send_envelope(envelope.candidates[0], envelope, bytes);
 }
 
+void packet_balancer::note(const char* what, std::string_view reason,
+                           const packet_envelope& envelope, const packet_head& head)
+{
+    packet_decision decision;
+    decision.what = what;
+    decision.reason = reason;
+    decision.flow = envelope.flow;
+    decision.is_opening = head.is_opening;
+    decision.held = envelope.held;
+    decision.envelope_held = envelope.held;
+    decision.candidate_count = envelope.candidate_count;
+    observer_.note(decision);
+}
+
 void packet_balancer::place(time_point now, const packet_table& table, const packet_route& route,
                             const packet_head& head, packet_envelope& envelope)
 {
--- a/modules/carawayshelf_packets/packet_balancer.hpp
+++ b/modules/carawayshelf_packets/packet_balancer.hpp
@@ -4,6 +4,7 @@
 #include "carawayshelf_packets/load_board.hpp"
 #include "carawayshelf_packets/packet_counters.hpp"
 #include "carawayshelf_packets/packet_format.hpp"
+#include "carawayshelf_packets/packet_observer.hpp"
 #include "carawayshelf_packets/packet_port.hpp"
 #include "carawayshelf_packets/packet_table.hpp"
 
@@ -26,7 +27,7 @@
     };
 
     packet_balancer(const options& own, const packet_format& format, packet_port& port,
-                    packet_counters& counters);
+                    packet_counters& counters, packet_observer& observer);
 
     /** Takes a client's packet.
         @param is_fresh  whether control confirmed the table a moment ago */
@@ -42,12 +43,6 @@
     /** Agents report to a balancer that asked for it within three of these. */
     static constexpr duration watch_interval = std::chrono::seconds(1);
 
-    /** Sequence of a reset that answers a packet: what its sender acknowledged. */
-    static std::uint32_t reset_sequence(const packet_head& head)
-    {
-        return head.is_opening ? 0 : head.acknowledged;
-    }
-
 private:
     struct ranked_member
     {
@@ -56,6 +51,8 @@
         std::uint64_t rank = 0;
     };
 
+    void note(const char* what, std::string_view reason, const packet_envelope& envelope,
+              const packet_head& head);
     void place(time_point now, const packet_table& table, const packet_route& route,
                const packet_head& head, packet_envelope& envelope);
     void search(time_point now, const packet_table& table, const packet_route& route,
@@ -68,6 +65,7 @@
     const packet_format& format_;
     packet_port& port_;
     packet_counters& counters_;
+    packet_observer& observer_;
     flow_cache cache_;
     load_board loads_;
     std::vector<ranked_member> ranked_;
--- a/modules/carawayshelf_packets/packet_format.hpp
+++ b/modules/carawayshelf_packets/packet_format.hpp
@@ -24,6 +24,12 @@
     std::uint32_t mark = 0; ///< What set_mark() wrote, in a returned packet.
 };
 
+/** Sequence of a reset that answers a packet: what its sender acknowledged. */
+inline std::uint32_t reset_sequence(const packet_head& head)
+{
+    return head.is_opening ? 0 : head.acknowledged;
+}
+
 /** A format of packets. Thread-safe: implementations hold no state. */
 class packet_format
 {
