Flows that nobody holds are reset at the first full visit; new members settle first

Cause: after a final fault each long flow lost its next request, since the reset came 600 ms after it (second retransmission) and the deadline is 500 ms. The double visit guarded against a member that the deciding agent doesn't know of yet.

--- a/modules/carawayshelf_io/packet_agent_daemon.cpp
+++ b/modules/carawayshelf_io/packet_agent_daemon.cpp
@@ -218,8 +218,8 @@
             join();
         }
         held_ = table_.held();
-        worker_.post([table = std::make_shared<const packet_table>(table_)](time_point instant,
-                                                                            packet_agent& core)
+        traffic_table_ = std::make_shared<const packet_table>(table_, *traffic_table_);
+        worker_.post([table = traffic_table_](time_point instant, packet_agent& core)
                      { core.set_table(instant, table); });
         client_.send_report();
     }
@@ -236,6 +236,7 @@
     generation joined_at_ = 0;
     bool is_joining_ = false;
     subscriber_table table_;
+    std::shared_ptr<const packet_table> traffic_table_ = std::make_shared<const packet_table>();
     std::atomic<generation> held_{0};
     packet_agent_worker worker_;
     control_client client_;
--- a/modules/carawayshelf_io/packet_balancer_daemon.cpp
+++ b/modules/carawayshelf_io/packet_balancer_daemon.cpp
@@ -23,8 +23,8 @@
 namespace
 {
 
-/** A table that control confirmed this long ago is no ground for resets: four heartbeats. */
-constexpr duration table_fresh_for = std::chrono::seconds(1);
+/** A table that control confirmed longer ago is no ground for resets. */
+constexpr duration table_fresh_for = packet_agent::table_fresh_for;
 
 time_point now()
 {
@@ -239,7 +239,8 @@
                         ", older than the held " + std::to_string(table_.held()));
             return;
         }
-        worker_.set_table(std::make_shared<const packet_table>(table_));
+        traffic_table_ = std::make_shared<const packet_table>(table_, *traffic_table_);
+        worker_.set_table(traffic_table_);
         worker_.confirm_table();
         held_ = table_.held();
         if (!is_ready_ && table_.rules())
@@ -254,6 +255,7 @@
     balancer_settings settings_;
     packet_counters counters_;
     subscriber_table table_;
+    std::shared_ptr<const packet_table> traffic_table_ = std::make_shared<const packet_table>();
     std::atomic<generation> held_{0};
     bool is_ready_ = false;
     bool is_stopping_ = false;
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -12,15 +12,6 @@
 /** Without an announcement for this many intervals the backend server gets no new flows. */
 constexpr int missed_announcements = 3;
 
-/** A table that control confirmed this long ago is no ground for resets: four heartbeats. */
-constexpr duration table_fresh_for = std::chrono::seconds(1);
-
-/** A flow is reset only when every member returned its packets twice, this far apart: the first
-    time a placement elsewhere may not be known here yet. Below the second retransmission of a
-    client, which comes 400 ms after the first. */
-constexpr duration lost_flow_confirmation = std::chrono::milliseconds(350);
-constexpr duration lost_flow_memory = std::chrono::seconds(5);
-
 /** An opening that gets no answer, or a request whose answer doesn't end, stops to count as load.
  */
 constexpr duration busy_for_at_most = std::chrono::seconds(2);
@@ -48,6 +39,7 @@
 void packet_agent::set_table(time_point now, std::shared_ptr<const packet_table> table)
 {
     const bool was_out = table_->is_domain_out(own_.domain);
+    note_changes(now, *table);
     table_ = std::move(table);
     confirmed_ = now;
     if (was_out && !table_->is_domain_out(own_.domain))
@@ -57,6 +49,42 @@
     }
 }
 
+void packet_agent::note_changes(time_point now, const packet_table& next)
+{
+    const bool is_first_table = table_->held() == 0;
+    const bool was_member = is_member_;
+    is_member_ = next.has_agent(own_.data);
+    if (is_member_ && !was_member)
+    {
+        // A restarted agent finds its earlier incarnation in the first table: others know it.
+        member_since_ = is_first_table ? now : now + settle_time;
+    }
+    for (auto item = led_since_.begin(); item != led_since_.end();)
+    {
+        item = now - item->second >= settle_time ? led_since_.erase(item) : std::next(item);
+    }
+    for (const endpoint& address : next.routes_leading_to(service()))
+    {
+        const packet_route* before = table_->find_route(address);
+        if (before != nullptr && !table_->may_hold(*before, service()))
+        {
+            led_since_[address] = now;
+        }
+    }
+}
+
+const std::string& packet_agent::service() const
+{
+    return has_server_ ? server_.service : own_.service;
+}
+
+bool packet_agent::is_settled(time_point now, const endpoint& address) const
+{
+    const auto led = led_since_.find(address);
+    const bool is_newly_led = led != led_since_.end() && now - led->second < settle_time;
+    return is_member_ && now >= member_since_ && !is_newly_led;
+}
+
 bool packet_agent::take_announcement(time_point now, const server_announcement& announcement)
 {
     if (announcement.id == departed_id_ && announcement.started_at <= server_.started_at)
@@ -123,7 +151,9 @@
     const packet_route* route = table_->find_route(head.destination);
     if (route == nullptr)
     {
-        const bool may_say_so = is_table_fresh(now) && envelope.held <= table_->held();
+        const bool is_known = head.is_opening || table_->had_route(head.destination);
+        const bool may_say_so =
+            is_known && is_table_fresh(now) && envelope.held <= table_->held();
         if (!may_say_so || head.is_reset)
         {
             note_dropped(packet_drop::no_route, envelope, head);
@@ -161,7 +191,7 @@
         note_dropped(packet_drop::stale_table, envelope, head);
         return;
     }
-    const pass_reason refusal = check_gate(now, envelope, route);
+    const pass_reason refusal = check_gate(now, envelope, head.destination, route);
     if (refusal != pass_reason::none)
     {
         pass_on(now, envelope, head, route, bytes, refusal);
@@ -182,7 +212,7 @@
 }
 
 pass_reason packet_agent::check_gate(time_point now, const packet_envelope& envelope,
-                                     const packet_route& route)
+                                     const endpoint& address, const packet_route& route)
 {
     if (!is_server_known(now) || table_->held() == 0)
     {
@@ -200,6 +230,10 @@
     {
         return pass_reason::domain_out;
     }
+    if (!is_settled(now, address))
+    {
+        return pass_reason::not_settled;
+    }
     if (!has_room(envelope))
     {
         return pass_reason::full;
@@ -228,11 +262,10 @@
                                     std::string_view bytes, char* packet)
 {
     const packet_flow key{head.source, head.destination};
-    const std::string& service = has_server_ ? server_.service : own_.service;
     auto found = flows_.find(key);
     if (found == flows_.end())
     {
-        if (!table_->may_hold(route, service))
+        if (!table_->may_hold(route, service()))
         {
             pass_on(now, envelope, head, route, bytes, pass_reason::wrong_service);
             return;
@@ -366,15 +399,12 @@
         note_reset(packet_reset::refused, envelope, head);
         return;
     }
-    const packet_flow key{head.source, head.destination};
-    const auto [first, is_new] = lost_flows_.emplace(key, now);
-    const bool is_confirmed = now - first->second >= lost_flow_confirmation;
-    if (is_new || !is_confirmed || !is_table_fresh(now) || head.is_reset)
+    const bool knows_all = is_table_fresh(now) && envelope.held <= table_->held();
+    if (!knows_all || head.is_reset)
     {
         note_dropped(packet_drop::lost_flow, envelope, head);
         return;
     }
-    lost_flows_.erase(first);
     note_reset(packet_reset::nowhere, envelope, head);
 }
 
@@ -452,10 +482,6 @@
             forget(current);
         }
     }
-    for (auto item = lost_flows_.begin(); item != lost_flows_.end();)
-    {
-        item = now - item->second > lost_flow_memory ? lost_flows_.erase(item) : std::next(item);
-    }
     report_load(now);
 }
 
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -41,6 +41,16 @@
         std::uint32_t queue_limit = 8; ///< Requests that its backend server queues.
     };
 
+    /** How long others may go on without having heard of a change, at most: a follower hears its
+        leader within 300 ms, an agent its control instance within table_fresh_for. A new member, or
+        one of a service that a route newly leads to, takes new flows only after this; so whoever
+        resets a flow with a fresh table has asked everyone who can hold it. */
+    static constexpr duration settle_time = std::chrono::milliseconds(700);
+
+    /** A table that control confirmed longer ago is no ground for resets: a heartbeat of 250 ms, and
+        what may delay it. */
+    static constexpr duration table_fresh_for = std::chrono::milliseconds(400);
+
     packet_agent(const options& own, const packet_format& format, packet_port& port,
                  packet_counters& counters, packet_observer& observer);
 
@@ -112,7 +122,10 @@
     void take_returned(time_point now, const packet_head& head, std::string_view bytes,
                        char* packet);
     pass_reason check_gate(time_point now, const packet_envelope& envelope,
-                           const packet_route& route);
+                           const endpoint& address, const packet_route& route);
+    const std::string& service() const;
+    bool is_settled(time_point now, const endpoint& address) const;
+    void note_changes(time_point now, const packet_table& next);
     bool has_room(const packet_envelope& envelope) const;
     bool is_cold(time_point now) const;
     bool is_server_known(time_point now) const;
@@ -139,7 +152,9 @@
     std::shared_ptr<const packet_table> table_;
     time_point confirmed_;
     flow_map flows_;
-    std::unordered_map<packet_flow, time_point, packet_flow_hasher> lost_flows_;
+    time_point member_since_;  ///< When others can be expected to know of this agent.
+    bool is_member_ = false;
+    std::unordered_map<endpoint, time_point> led_since_; ///< Routes that lead here since lately.
     visit_ring visits_;
     cold_allowance cold_;
     std::unordered_map<endpoint, time_point> watchers_;
--- a/modules/carawayshelf_packets/packet_balancer.cpp
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -44,7 +44,9 @@
     const packet_route* route = table.find_route(head.destination);
     if (route == nullptr)
     {
-        if (!is_fresh || head.is_reset)
+        // A flow may have been opened on a route that is not known here yet.
+        const bool may_be_new = !head.is_opening && !table.had_route(head.destination);
+        if (!is_fresh || may_be_new || head.is_reset)
         {
             counters_.drops.add(packet_drop::no_route);
             note("dropped", packet_drop_names.name(packet_drop::no_route), envelope, head);
--- a/modules/carawayshelf_packets/packet_counters.hpp
+++ b/modules/carawayshelf_packets/packet_counters.hpp
@@ -16,7 +16,7 @@
     no_route,    ///< No route, and the own table may be too old to say so.
     no_member,   ///< The route has no member to send it to.
     stale_table, ///< The sender held a newer table.
-    lost_flow,   ///< Every member has returned it, for the first time.
+    lost_flow,   ///< Every known member has returned it, but the own table may be too old.
     send_failed
 };
 
@@ -41,13 +41,14 @@
     no_server, ///< Its backend server has not announced itself lately.
     draining,
     domain_out,
+    not_settled, ///< Others may not have heard yet that it takes these flows.
     cold,
     full,
     not_here ///< The backend server returned it.
 };
 
-inline constexpr name_table<pass_reason, 8> pass_reason_names{
-    {"none", "wrong_service", "no_server", "draining", "domain_out", "cold", "full", "not_here"}};
+inline constexpr name_table<pass_reason, 9> pass_reason_names{
+    {"none", "wrong_service", "no_server", "draining", "domain_out", "not_settled", "cold", "full", "not_here"}};
 
 /** Counters of a packet balancer or packet agent; any thread may read them. */
 struct packet_counters
--- a/modules/carawayshelf_packets/packet_table.cpp
+++ b/modules/carawayshelf_packets/packet_table.cpp
@@ -5,9 +5,14 @@
 namespace carawayshelf
 {
 
-packet_table::packet_table(const subscriber_table& from)
-    : held_(from.held()), domains_out_(from.domains_out())
+packet_table::packet_table(const subscriber_table& from, const packet_table& before)
+    : held_(from.held()), removed_routes_(before.removed_routes_),
+      domains_out_(from.domains_out())
 {
+    for (const auto& [address, route] : before.routes_)
+    {
+        removed_routes_.insert(address);
+    }
     if (!from.rules())
     {
         return;
@@ -19,6 +24,7 @@
     }
     for (const traffic_route& source : rules.configuration.routes)
     {
+        removed_routes_.erase(source.address);
         packet_route& route = routes_[source.address];
         route.requests = source.requests;
         route.timeout_ms = source.timeout_ms;
@@ -101,6 +107,19 @@
                        { return share.service == found->second && share.weight != 0; });
 }
 
+std::vector<endpoint> packet_table::routes_leading_to(const std::string& service) const
+{
+    std::vector<endpoint> addresses;
+    for (const auto& [address, route] : routes_)
+    {
+        if (leads_to(route, service))
+        {
+            addresses.push_back(address);
+        }
+    }
+    return addresses;
+}
+
 bool packet_table::may_hold(const packet_route& route, const std::string& service) const
 {
     const auto found = services_.find(service);
@@ -120,6 +139,12 @@
     return found == rules_.end() ? 0 : found->second.max_flows;
 }
 
+bool packet_table::has_agent(const endpoint& agent) const
+{
+    const std::vector<endpoint> agents = all_agents();
+    return std::find(agents.begin(), agents.end(), agent) != agents.end();
+}
+
 std::vector<endpoint> packet_table::all_agents() const
 {
     std::vector<endpoint> agents;
--- a/modules/carawayshelf_packets/packet_table.hpp
+++ b/modules/carawayshelf_packets/packet_table.hpp
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace carawayshelf
@@ -43,11 +44,22 @@
 public:
     packet_table() = default;
 
-    explicit packet_table(const subscriber_table& from);
+    /** @param before  the table that this one replaces; routes that it had and this one lacks are
+                       known as removed */
+    packet_table(const subscriber_table& from, const packet_table& before);
 
     /** The route of an address, or nullptr. */
     const packet_route* find_route(const endpoint& address) const;
 
+    /** Whether an address had a route earlier. */
+    bool had_route(const endpoint& address) const
+    {
+        return removed_routes_.count(address) != 0;
+    }
+
+    /** Whether an agent has a member here. */
+    bool has_agent(const endpoint& agent) const;
+
     /** Members of a service. Precondition: the index comes from a route of this table. */
     const std::vector<packet_member>& members_of(std::uint32_t service) const
     {
@@ -60,6 +72,9 @@
     /** Whether a route's shares give new flows to a service. */
     bool leads_to(const packet_route& route, const std::string& service) const;
 
+    /** Addresses of the routes whose shares give new flows to a service. */
+    std::vector<endpoint> routes_leading_to(const std::string& service) const;
+
     /** Whether a route gives flows to a service, or gave it some before. */
     bool may_hold(const packet_route& route, const std::string& service) const;
 
@@ -87,6 +102,7 @@
 
     generation held_ = 0;
     std::unordered_map<endpoint, packet_route> routes_;
+    std::unordered_set<endpoint> removed_routes_;
     std::vector<std::vector<packet_member>> members_;
     std::unordered_map<std::string, std::uint32_t> services_;
     std::unordered_map<std::string, service_rules> rules_;
