--- a/modules/carawayshelf_io/control_client.cpp
+++ b/modules/carawayshelf_io/control_client.cpp
@@ -16,7 +16,7 @@
 constexpr std::chrono::milliseconds retry_interval(50);
 
 /** An attempt to connect that hangs for this long is given up. */
-constexpr duration connect_limit = std::chrono::milliseconds(200);
+constexpr std::chrono::milliseconds connect_limit(100);
 
 /** A control instance that answers no heartbeat for this long is given up: three heartbeats. */
 constexpr duration silent_limit = std::chrono::milliseconds(800);
@@ -62,7 +62,6 @@
     const std::shared_ptr<boost::asio::ip::tcp::socket> socket =
         std::make_shared<boost::asio::ip::tcp::socket>(io_);
     connecting_ = socket;
-    connecting_since_ = now();
     socket->async_connect(to_asio(address),
                           [this, socket](const boost::system::error_code& error)
                           {
@@ -78,6 +77,26 @@
                               }
                               on_connected(std::move(*socket));
                           });
+    connect_again_after(connect_limit);
+}
+
+void control_client::connect_again_after(std::chrono::milliseconds pause)
+{
+    retry_timer_.expires_after(pause);
+    retry_timer_.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            if (error || connection_)
+            {
+                return;
+            }
+            if (connecting_)
+            {
+                boost::system::error_code ignored;
+                std::exchange(connecting_, nullptr)->close(ignored);
+            }
+            connect();
+        });
 }
 
 void control_client::on_connected(boost::asio::ip::tcp::socket socket)
@@ -115,15 +134,7 @@
     {
         done(error_kind::not_confirmed, {});
     }
-    retry_timer_.expires_after(retry_interval);
-    retry_timer_.async_wait(
-        [this](const boost::system::error_code& error)
-        {
-            if (!error)
-            {
-                connect();
-            }
-        });
+    connect_again_after(retry_interval);
 }
 
 void control_client::handle_frame(frame& received)
@@ -185,13 +196,6 @@
 
 void control_client::drop_if_silent()
 {
-    if (connecting_ && now() - connecting_since_ > connect_limit)
-    {
-        boost::system::error_code ignored;
-        connecting_->close(ignored);
-        connecting_ = nullptr;
-        lose_connection();
-    }
     if (connection_ && (now() - heard_ > silent_limit || now() - confirmed_ > unconfirmed_limit))
     {
         const std::shared_ptr<frame_connection> silent = connection_;
--- a/modules/carawayshelf_io/control_client.hpp
+++ b/modules/carawayshelf_io/control_client.hpp
@@ -57,6 +57,7 @@
 
 private:
     void connect();
+    void connect_again_after(std::chrono::milliseconds pause);
     void on_connected(boost::asio::ip::tcp::socket socket);
     void subscribe();
     void handle_frame(frame& received);
@@ -68,8 +69,7 @@
     boost::asio::io_context& io_;
     std::vector<endpoint> instances_;
     std::vector<endpoint> settled_; ///< Those of the settings, which are always tried too.
-    std::shared_ptr<boost::asio::ip::tcp::socket> connecting_;
-    time_point connecting_since_;
+    std::shared_ptr<boost::asio::ip::tcp::socket> connecting_; ///< An attempt under way.
     time_point heard_;     ///< Any answer on this connection.
     time_point confirmed_; ///< An answer of an instance in touch with a leader.
     std::function<void()> on_confirmed_;
--- a/modules/carawayshelf_io/peer_links.cpp
+++ b/modules/carawayshelf_io/peer_links.cpp
@@ -9,7 +9,7 @@
 {
 
 /** An attempt to connect that hangs for this long is given up: many round trips. */
-constexpr duration connect_limit = std::chrono::milliseconds(200);
+constexpr duration connect_limit = std::chrono::milliseconds(100);
 
 /** Pause after a refused attempt: short beside the start of an instance. */
 constexpr duration retry_interval = std::chrono::milliseconds(30);
