Openings wait at the least loaded agent when all are full; those still in time go first

Cause: after an outage a backlog of some hundred openings met servers that queue 8 each; the rest was refused three times within 50 ms and failed, though the servers were free half a second later. Now an opening that finds every candidate full goes back to the least loaded one and waits there, at most half its route's timeout and 1 s. A pre-vote that is granted right after a start postpones the own one.

--- a/modules/carawayshelf_consensus/consensus_core.cpp
+++ b/modules/carawayshelf_consensus/consensus_core.cpp
@@ -86,11 +86,15 @@
     return random_;
 }
 
+bool consensus_core::is_starting(time_point now) const
+{
+    return leader_heard_ == time_point() && now - started_ < settings_.start_phase;
+}
+
 void consensus_core::reset_election_timer(time_point now)
 {
-    const bool is_starting = leader_heard_ == time_point() && now - started_ < settings_.start_phase;
     const duration timeout =
-        is_starting ? settings_.first_election_timeout : settings_.election_timeout;
+        is_starting(now) ? settings_.first_election_timeout : settings_.election_timeout;
     const std::uint64_t span = static_cast<std::uint64_t>(timeout.count());
     election_due_ = now + timeout + duration(next_random() % span);
 }
@@ -437,6 +441,10 @@
         reply.accepted =
             received.term > hard_.term && is_log_current(received) && !has_recent_leader(now);
         reply.term = reply.accepted ? received.term : hard_.term;
+        if (reply.accepted && is_starting(now))
+        {
+            reset_election_timer(now); // All started together; the first one gets its chance.
+        }
     }
     else
     {
--- a/modules/carawayshelf_consensus/consensus_core.hpp
+++ b/modules/carawayshelf_consensus/consensus_core.hpp
@@ -21,9 +21,9 @@
     /** The same right after a start: a leader that is there is not deposed, since those who hear it
         refuse their pre-vote. */
     duration first_election_timeout = std::chrono::milliseconds(60);
-    duration start_phase = std::chrono::seconds(1); ///< How long that holds after a start.
-    std::size_t most_records = 1024;                            ///< Records in one append.
-    std::size_t most_bytes = std::size_t{4} * 1024 * 1024;      ///< Payload bytes in one append.
+    duration start_phase = std::chrono::seconds(1);        ///< How long that holds after a start.
+    std::size_t most_records = 1024;                       ///< Records in one append.
+    std::size_t most_bytes = std::size_t{4} * 1024 * 1024; ///< Payload bytes in one append.
 };
 
 enum class consensus_role
@@ -196,6 +196,7 @@
     bool is_log_current(const message& received) const;
     bool has_recent_leader(time_point now) const;
     bool is_quorum(std::size_t count) const;
+    bool is_starting(time_point now) const;
     void reset_election_timer(time_point now);
     void request_votes(message_kind kind, term_number term);
     message reply_to(const message& received, message_kind kind) const;
--- a/modules/carawayshelf_io/control_client.hpp
+++ b/modules/carawayshelf_io/control_client.hpp
@@ -70,7 +70,7 @@
     std::vector<endpoint> instances_;
     std::vector<endpoint> settled_; ///< Those of the settings, which are always tried too.
     std::shared_ptr<boost::asio::ip::tcp::socket> connecting_; ///< An attempt under way.
-    time_point heard_;     ///< Any answer on this connection.
+    time_point heard_;                                         ///< Any answer on this connection.
     time_point confirmed_; ///< An answer of an instance in touch with a leader.
     std::function<void()> on_confirmed_;
     report_source report_;
--- a/modules/carawayshelf_io/decision_log.cpp
+++ b/modules/carawayshelf_io/decision_log.cpp
@@ -10,8 +10,7 @@
 
 void decision_log::note(const packet_decision& decision)
 {
-    const time_point now =
-        std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+    const time_point now = std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
     if (now - second_ >= std::chrono::seconds(1))
     {
         second_ = now;
@@ -23,14 +22,13 @@
         return;
     }
     ++lines_;
-    std::string line = std::string(decision.what) + " (" + std::string(decision.reason) + ") " +
-                       (decision.is_opening ? "opening " : "packet ") + "of flow " +
-                       to_string(decision.flow.client) + " to " + to_string(decision.flow.service) +
-                       ", table " + std::to_string(decision.held) + ", sender's " +
-                       std::to_string(decision.envelope_held) + ", candidate " +
-                       std::to_string(decision.position + 1) + " of " +
-                       std::to_string(decision.candidate_count) + ", load " +
-                       std::to_string(decision.load);
+    std::string line =
+        std::string(decision.what) + " (" + std::string(decision.reason) + ") " +
+        (decision.is_opening ? "opening " : "packet ") + "of flow " +
+        to_string(decision.flow.client) + " to " + to_string(decision.flow.service) + ", table " +
+        std::to_string(decision.held) + ", sender's " + std::to_string(decision.envelope_held) +
+        ", candidate " + std::to_string(decision.position + 1) + " of " +
+        std::to_string(decision.candidate_count) + ", load " + std::to_string(decision.load);
     if (left_out_ != 0)
     {
         line += "; " + std::to_string(std::exchange(left_out_, 0)) + " decisions left out before";
--- a/modules/carawayshelf_io/metrics_page.hpp
+++ b/modules/carawayshelf_io/metrics_page.hpp
@@ -35,7 +35,8 @@
     }
 }
 
-/** The Prometheus page of a daemon, written by prometheus-cpp and served on the io_context's thread.
+/** The Prometheus page of a daemon, written by prometheus-cpp and served on the io_context's
+ * thread.
  */
 class metrics_page
 {
--- a/modules/carawayshelf_io/packet_sockets.hpp
+++ b/modules/carawayshelf_io/packet_sockets.hpp
@@ -29,8 +29,7 @@
     void send_reset(const packet_flow& flow, std::uint32_t sequence) override;
     void send_to_server(std::string_view packet) override;
 
-    /** Sends what was collected. Call before the bytes handed in become invalid. */
-    void flush();
+    void flush() override;
 
     int data_fd() const
     {
--- a/modules/carawayshelf_packets/carawayshelf_packets.hpp
+++ b/modules/carawayshelf_packets/carawayshelf_packets.hpp
@@ -14,6 +14,7 @@
 #include "carawayshelf_packets/cold_allowance.hpp"
 #include "carawayshelf_packets/flow_cache.hpp"
 #include "carawayshelf_packets/load_board.hpp"
+#include "carawayshelf_packets/opening_queue.hpp"
 #include "carawayshelf_packets/packet_agent.hpp"
 #include "carawayshelf_packets/packet_balancer.hpp"
 #include "carawayshelf_packets/packet_format.hpp"
--- /dev/null
+++ b/modules/carawayshelf_packets/opening_queue.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "carawayshelf_core/clock_time.hpp"
+#include "carawayshelf_wire/packet_envelope.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <tuple>
+#include <vector>
+
+namespace carawayshelf
+{
+
+/** An opening packet that waits for room at the backend server. */
+struct waiting_opening
+{
+    packet_envelope envelope;
+    packet_flow flow;
+    std::string packet;
+    time_point give_up; ///< After this it is refused.
+    time_point late_after; ///< After this its answer would come later than its client hopes.
+    time_point heard;      ///< When it, or a copy of it, came last.
+};
+
+/** Opening packets that wait before one backend server. Those whose answers can still be in time go
+    before those that are late already, so that a backlog doesn't make everyone late; then the more
+    urgent ones, then in the order of arrival. Not thread-safe. */
+class opening_queue
+{
+public:
+    /** Adds a packet.
+        @param priority  0 goes first */
+    void add(std::uint32_t priority, waiting_opening opening);
+
+    /** Takes the next one out. */
+    std::optional<waiting_opening> take_next(time_point now);
+
+    /** Takes out those whose time is over. */
+    std::vector<waiting_opening> take_expired(time_point now);
+
+    /** How many that are not late go before a new one of a priority. */
+    std::size_t count_ahead(std::uint32_t priority) const;
+
+    /** A copy of a packet came. Returns whether the flow waits here. */
+    bool hear_copy(time_point now, const packet_flow& flow);
+
+    bool is_empty() const
+    {
+        return waiting_.empty();
+    }
+
+    std::size_t size() const
+    {
+        return waiting_.size();
+    }
+
+private:
+    /** Order in the queue; late ones come last. */
+    struct place
+    {
+        bool is_late = false;
+        std::uint32_t priority = 0;
+        std::uint64_t arrival = 0;
+
+        bool operator<(const place& other) const
+        {
+            return std::tie(is_late, priority, arrival) <
+                   std::tie(other.is_late, other.priority, other.arrival);
+        }
+    };
+
+    void move_late(time_point now);
+
+    std::map<place, waiting_opening> waiting_;
+    std::unordered_map<packet_flow, place, packet_flow_hasher> places_;
+    std::uint64_t last_arrival_ = 0;
+};
+
+} // namespace carawayshelf
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -12,20 +12,19 @@
 /** Without an announcement for this many intervals the backend server gets no new flows. */
 constexpr int missed_announcements = 3;
 
-/** An opening that gets no answer, or a request whose answer doesn't end, stops to count as load.
- */
-constexpr duration busy_for_at_most = std::chrono::seconds(2);
+/** Requests beyond the slots that the backend server is given: while one is answered, the next
+   one's handshake is under way. More would wait there in the order of arrival. */
+constexpr std::uint32_t requests_ahead = 2;
 
-/** Flows in the cache that were not used for this long are forgotten; longer than the pauses of
-    long flows. */
-constexpr duration flow_memory = std::chrono::seconds(20);
-constexpr duration closed_flow_memory = std::chrono::seconds(2);
+/** An opening packet waits at most this long for room: clients give an attempt up after 1.4 s. */
+constexpr duration longest_wait = std::chrono::milliseconds(1000);
 
-/** A balancer that doesn't repeat its wish gets no more load reports. */
-constexpr duration watcher_memory = std::chrono::seconds(3);
+/** A client that waits sends copies 200 ms and 600 ms after its opening packet; one that sent none
+    for this long has left, or lost one and sends the next. */
+constexpr duration client_gone_after = std::chrono::milliseconds(450);
 
-/** Data of a full packet; a shorter one ends an answer. */
-constexpr std::uint32_t full_packet_bytes = 1200;
+/** And at most this part of its route's timeout, so that the request can still be answered. */
+constexpr int wait_part_of_timeout = 2;
 
 } // namespace
 
@@ -47,6 +46,7 @@
         // The backend server may have turned cold meanwhile; its next announcement tells.
         must_announce_anew_ = true;
     }
+    admit_waiting(now);
 }
 
 void packet_agent::note_changes(time_point now, const packet_table& next)
@@ -73,18 +73,6 @@
     }
 }
 
-const std::string& packet_agent::service() const
-{
-    return has_server_ ? server_.service : own_.service;
-}
-
-bool packet_agent::is_settled(time_point now, const endpoint& address) const
-{
-    const auto led = led_since_.find(address);
-    const bool is_newly_led = led != led_since_.end() && now - led->second < settle_time;
-    return is_member_ && now >= member_since_ && !is_newly_led;
-}
-
 bool packet_agent::take_announcement(time_point now, const server_announcement& announcement)
 {
     if (announcement.id == departed_id_ && announcement.started_at <= server_.started_at)
@@ -103,6 +91,7 @@
     announced_ = now;
     cold_until_ = now + announcement.cold_for;
     must_announce_anew_ = false;
+    admit_waiting(now);
     return true;
 }
 
@@ -117,6 +106,11 @@
     return true;
 }
 
+const std::string& packet_agent::service() const
+{
+    return has_server_ ? server_.service : own_.service;
+}
+
 bool packet_agent::is_server_known(time_point now) const
 {
     return has_server_ && now - announced_ < own_.announce_interval * missed_announcements;
@@ -127,92 +121,57 @@
     return now < cold_until_ || must_announce_anew_;
 }
 
-bool packet_agent::is_table_fresh(time_point now) const
+bool packet_agent::is_settled(time_point now, const endpoint& address) const
 {
-    return table_->held() != 0 && now - confirmed_ < table_fresh_for;
+    const auto led = led_since_.find(address);
+    const bool is_newly_led = led != led_since_.end() && now - led->second < settle_time;
+    return is_member_ && now >= member_since_ && !is_newly_led;
 }
 
-void packet_agent::take_envelope(time_point now, const packet_envelope& envelope, char* packet,
-                                 std::size_t size)
+void packet_agent::take_opening(time_point now, const packet_envelope& envelope,
+                                const packet_route& route, const client_packet& packet)
 {
-    ++counters_.received;
-    if (envelope.kind == packet_envelope_kind::watching)
-    {
-        watchers_[envelope.balancer] = now;
-        return;
-    }
-    const std::string_view bytes(packet, size);
-    packet_head head;
-    if (envelope.kind != packet_envelope_kind::packet || !format_.decode(bytes, head))
-    {
-        counters_.drops.add(packet_drop::malformed);
-        return;
-    }
-    const packet_route* route = table_->find_route(head.destination);
-    if (route == nullptr)
+    const auto known = flows_.find(packet.flow());
+    if (known != flows_.end() && known->second.is_placed)
     {
-        const bool is_known = head.is_opening || table_->had_route(head.destination);
-        const bool may_say_so =
-            is_known && is_table_fresh(now) && envelope.held <= table_->held();
-        if (!may_say_so || head.is_reset)
+        if (known->second.state == flow_state::opening)
         {
-            note_dropped(packet_drop::no_route, envelope, head);
-            return;
+            deliver(envelope, packet);
         }
-        note_reset(packet_reset::no_route, envelope, head);
-        return;
+        return; // A late copy of the packet that opened the flow.
     }
-    if (head.is_opening)
+    if (waiting_.hear_copy(now, packet.flow()))
     {
-        take_opening(now, envelope, head, *route, bytes, packet);
+        return; // A copy of one that waits.
     }
-    else
+    if (envelope.held > table_->held())
     {
-        take_flow_packet(now, envelope, head, *route, bytes, packet);
+        note_dropped(packet_drop::stale_table, envelope, packet.head);
+        return;
     }
+    decide_opening(now, envelope, route, packet);
 }
 
-void packet_agent::take_opening(time_point now, const packet_envelope& envelope,
-                                const packet_head& head, const packet_route& route,
-                                std::string_view bytes, char* packet)
+void packet_agent::decide_opening(time_point now, const packet_envelope& envelope,
+                                  const packet_route& route, const client_packet& packet)
 {
-    const packet_flow key{head.source, head.destination};
-    const auto known = flows_.find(key);
-    if (known != flows_.end() && known->second.is_placed)
-    {
-        if (known->second.state == flow_state::opening)
-        {
-            deliver(envelope, bytes, packet);
-        }
-        return; // A late copy of the packet that opened the flow.
-    }
-    if (envelope.held > table_->held())
+    const pass_reason refusal = check_gate(now, envelope, route, packet.head.destination);
+    if (refusal == pass_reason::none)
     {
-        note_dropped(packet_drop::stale_table, envelope, head);
-        return;
+        accept(now, envelope, packet);
     }
-    const pass_reason refusal = check_gate(now, envelope, head.destination, route);
-    if (refusal != pass_reason::none)
+    else if (refusal == pass_reason::full)
     {
-        pass_on(now, envelope, head, route, bytes, refusal);
-        return;
+        find_room_elsewhere(now, envelope, route, packet);
     }
-    flow& placed = flows_[key];
-    placed.state = flow_state::opening;
-    placed.is_placed = true;
-    placed.balancer = envelope.balancer;
-    placed.used = now;
-    set_busy(placed, true);
-    ++counters_.placed;
-    if (envelope.position > 0)
+    else
     {
-        tell_holder(key, placed);
+        pass_on(now, envelope, route, packet, refusal);
     }
-    deliver(envelope, bytes, packet);
 }
 
 pass_reason packet_agent::check_gate(time_point now, const packet_envelope& envelope,
-                                     const endpoint& address, const packet_route& route)
+                                     const packet_route& route, const endpoint& address)
 {
     if (!is_server_known(now) || table_->held() == 0)
     {
@@ -253,259 +212,105 @@
     {
         return false;
     }
-    const bool is_last = envelope.position + 1 >= envelope.candidate_count;
-    return busy_ < server_.slots + (is_last ? own_.queue_limit : 0);
-}
-
-void packet_agent::take_flow_packet(time_point now, const packet_envelope& envelope,
-                                    const packet_head& head, const packet_route& route,
-                                    std::string_view bytes, char* packet)
-{
-    const packet_flow key{head.source, head.destination};
-    auto found = flows_.find(key);
-    if (found == flows_.end())
-    {
-        if (!table_->may_hold(route, service()))
-        {
-            pass_on(now, envelope, head, route, bytes, pass_reason::wrong_service);
-            return;
-        }
-        found = flows_.emplace(key, flow{}).first;
-    }
-    flow& item = found->second;
-    item.used = now;
-    item.tell_holder = item.tell_holder || envelope.position > 0;
-    item.balancer = envelope.balancer;
-    item.client_finished = item.client_finished || head.is_finish || head.is_reset;
-    if (head.data_bytes != 0 && item.state != flow_state::searching)
-    {
-        item.state = flow_state::open;
-        set_busy(item, true);
-    }
-    if (item.state == flow_state::open && item.tell_holder)
-    {
-        tell_holder(key, item);
-    }
-    deliver(envelope, bytes, packet);
+    const bool is_final = (envelope.flags & opening_flag_final) != 0;
+    return busy_ < server_.slots + (is_final ? requests_ahead : 0);
 }
 
-void packet_agent::deliver(const packet_envelope& envelope, std::string_view bytes, char* packet)
+void packet_agent::accept(time_point now, const packet_envelope& envelope,
+                          const client_packet& packet)
 {
-    format_.set_mark(packet, visits_.add(envelope));
-    ++counters_.relayed;
-    port_.send_to_server(bytes);
-}
-
-void packet_agent::take_server_packet(time_point now, char* packet, std::size_t size)
-{
-    const std::string_view bytes(packet, size);
-    packet_head head;
-    if (!format_.decode(bytes, head))
-    {
-        counters_.drops.add(packet_drop::malformed);
-        return;
-    }
-    if (head.is_returned)
-    {
-        take_returned(now, head, bytes, packet);
-        return;
-    }
-    const packet_flow key{head.destination, head.source};
-    flow& item = flows_[key];
-    if (item.state == flow_state::searching)
-    {
-        item.state = flow_state::open;
-    }
-    item.used = now;
-    item.server_finished = item.server_finished || head.is_finish || head.is_reset;
-    if ((head.data_bytes != 0 && head.data_bytes < full_packet_bytes) || item.server_finished)
-    {
-        set_busy(item, false);
-    }
-    if (item.tell_holder && !item.balancer.is_none())
-    {
-        tell_holder(key, item);
-    }
-    ++counters_.replies;
-    port_.send_to_client(head.destination.address, bytes);
-}
-
-void packet_agent::take_returned(time_point now, const packet_head& head, std::string_view bytes,
-                                 char* packet)
-{
-    const packet_envelope* visit = visits_.find(head.mark);
-    const auto known = flows_.find({head.source, head.destination});
-    if (known != flows_.end())
-    {
-        forget(known);
-    }
-    const packet_route* route = table_->find_route(head.destination);
-    if (visit == nullptr || route == nullptr)
-    {
-        note_dropped(packet_drop::no_route, packet_envelope{}, head);
-        return;
-    }
-    format_.set_mark(packet, 0);
-    pass_on(now, *visit, head, *route, bytes, pass_reason::not_here);
-}
-
-void packet_agent::pass_on(time_point now, packet_envelope envelope, const packet_head& head,
-                           const packet_route& route, std::string_view bytes, pass_reason why)
-{
-    counters_.passes.add(why);
-    note("passed", pass_reason_names.name(why), envelope, head);
-    envelope.held = std::max(envelope.held, table_->held());
-    ++envelope.position;
-    while (envelope.position < envelope.candidate_count &&
-           envelope.candidates[envelope.position] == own_.data)
-    {
-        ++envelope.position;
-    }
-    if (envelope.position >= envelope.candidate_count &&
-        !add_unvisited(envelope, route, head.is_opening))
+    flow& placed = flows_[packet.flow()];
+    placed.state = flow_state::opening;
+    placed.is_placed = true;
+    placed.balancer = envelope.balancer;
+    placed.used = now;
+    start_request(now, placed);
+    ++counters_.placed;
+    if (envelope.position > 0)
     {
-        give_up(now, envelope, head);
-        return;
+        tell_holder(packet.flow(), envelope.balancer);
     }
-    port_.send_envelope(envelope.candidates[envelope.position], envelope, bytes);
+    deliver(envelope, packet);
 }
 
-bool packet_agent::add_unvisited(packet_envelope& envelope, const packet_route& route,
-                                 bool for_new) const
+void packet_agent::find_room_elsewhere(time_point now, packet_envelope envelope,
+                                       const packet_route& route, const client_packet& packet)
 {
-    const std::size_t before = envelope.candidate_count;
-    for (const bool silent : {false, true})
+    if ((envelope.flags & opening_flag_final) != 0)
     {
-        for (const std::uint32_t service : route.services)
+        if (!queue_opening(now, envelope, route, packet))
         {
-            for (const packet_member& who : table_->members_of(service))
-            {
-                const bool fits = who.is_silent == silent && (!for_new || who.takes_new);
-                if (fits && who.data != own_.data && !envelope.has_candidate(who.data))
-                {
-                    envelope.add_candidate(who.data);
-                }
-            }
+            note_reset(packet_reset::refused, envelope, packet.head);
         }
-    }
-    return envelope.candidate_count > before;
-}
-
-void packet_agent::give_up(time_point now, const packet_envelope& envelope,
-                           const packet_head& head)
-{
-    if (head.is_opening)
-    {
-        note_reset(packet_reset::refused, envelope, head);
         return;
     }
-    const bool knows_all = is_table_fresh(now) && envelope.held <= table_->held();
-    if (!knows_all || head.is_reset)
+    const bool is_first = (envelope.flags & opening_best_bits) == 0;
+    if (is_first || load() < envelope.load)
     {
-        note_dropped(packet_drop::lost_flow, envelope, head);
-        return;
+        envelope.load = static_cast<std::uint16_t>(std::min<std::uint32_t>(load(), UINT16_MAX));
+        envelope.flags = static_cast<std::uint8_t>((envelope.position + 1U) & opening_best_bits);
     }
-    note_reset(packet_reset::nowhere, envelope, head);
-}
-
-void packet_agent::note_dropped(packet_drop reason, const packet_envelope& envelope,
-                                const packet_head& head)
-{
-    counters_.drops.add(reason);
-    note("dropped", packet_drop_names.name(reason), envelope, head);
-}
-
-void packet_agent::note_reset(packet_reset reason, const packet_envelope& envelope,
-                              const packet_head& head)
-{
-    counters_.resets.add(reason);
-    note("reset", packet_reset_names.name(reason), envelope, head);
-    port_.send_reset({head.source, head.destination}, reset_sequence(head));
-}
-
-void packet_agent::note(const char* what, std::string_view reason, const packet_envelope& envelope,
-                        const packet_head& head)
-{
-    packet_decision decision;
-    decision.what = what;
-    decision.reason = reason;
-    decision.flow = {head.source, head.destination};
-    decision.is_opening = head.is_opening;
-    decision.held = table_->held();
-    decision.envelope_held = envelope.held;
-    decision.position = envelope.position;
-    decision.candidate_count = envelope.candidate_count;
-    decision.load = busy_;
-    observer_.note(decision);
-}
-
-void packet_agent::tell_holder(const packet_flow& key, flow& item)
-{
-    packet_envelope told;
-    told.kind = packet_envelope_kind::holder;
-    told.held = table_->held();
-    told.balancer = item.balancer;
-    told.flow = key;
-    port_.send_envelope(item.balancer, told, {});
-    item.tell_holder = false;
+    pass_on(now, envelope, route, packet, pass_reason::full);
 }
 
-void packet_agent::set_busy(flow& item, bool busy)
+bool packet_agent::queue_opening(time_point now, const packet_envelope& envelope,
+                                 const packet_route& route, const client_packet& packet)
 {
-    if (item.is_busy != busy)
+    const duration allowed = std::min<duration>(
+        longest_wait, std::chrono::milliseconds(route.timeout_ms) / wait_part_of_timeout);
+    const std::size_t ahead = waiting_.count_ahead(route.priority) + 1;
+    const duration expected = service_time_ * static_cast<std::int64_t>(ahead) / server_.slots;
+    if (expected > allowed)
     {
-        item.is_busy = busy;
-        busy_ = busy ? busy_ + 1 : busy_ - 1;
+        return false;
     }
+    // Copies are late already.
+    const duration in_time =
+        packet.head.acknowledged != 0
+            ? duration(0)
+            : std::chrono::milliseconds(route.target_latency_ms) - service_time_ * 2;
+    waiting_.add(route.priority, {envelope, packet.flow(), std::string(packet.bytes()),
+                                  now + allowed, now + in_time, now});
+    tell_holder(packet.flow(), envelope.balancer); // Copies come here.
+    return true;
 }
 
-void packet_agent::forget(flow_map::iterator item)
-{
-    set_busy(item->second, false);
-    flows_.erase(item);
-}
-
-void packet_agent::tick(time_point now)
+void packet_agent::admit_waiting(time_point now)
 {
-    for (auto item = flows_.begin(); item != flows_.end();)
+    while (!waiting_.is_empty() && busy_ < server_.slots + requests_ahead)
     {
-        const auto current = item++;
-        flow& known = current->second;
-        const duration age = now - known.used;
-        const bool is_closed = known.client_finished && known.server_finished;
-        if (age > busy_for_at_most)
+        waiting_opening next = std::move(*waiting_.take_next(now));
+        if (now - next.heard > client_gone_after)
+        {
+            counters_.drops.add(packet_drop::client_gone);
+            continue;
+        }
+        client_packet packet{{}, next.packet.data(), next.packet.size()};
+        const packet_route* route = table_->find_route(next.flow.service);
+        if (!format_.decode(packet.bytes(), packet.head))
         {
-            set_busy(known, false);
+            counters_.drops.add(packet_drop::malformed);
+            continue;
         }
-        if (age > (is_closed ? closed_flow_memory : flow_memory))
+        if (route == nullptr)
         {
-            forget(current);
+            note_reset(packet_reset::no_route, next.envelope, packet.head);
+            continue;
         }
+        decide_opening(now, next.envelope, *route, packet);
+        port_.flush();
     }
-    report_load(now);
 }
 
-void packet_agent::report_load(time_point now)
+void packet_agent::refuse_expired(time_point now)
 {
-    packet_envelope report;
-    report.kind = packet_envelope_kind::load;
-    report.held = table_->held();
-    report.load =
-        static_cast<std::uint16_t>(std::min<std::uint32_t>(busy_ * load_unit, UINT16_MAX));
-    const bool takes_new = is_server_known(now) && !server_.is_draining && table_->held() != 0 &&
-                           !table_->is_domain_out(own_.domain);
-    report.flags = static_cast<std::uint8_t>((takes_new ? 0 : load_flag_closed) |
-                                             (is_cold(now) ? load_flag_cold : 0));
-    for (auto item = watchers_.begin(); item != watchers_.end();)
+    for (waiting_opening& expired : waiting_.take_expired(now))
     {
-        if (now - item->second > watcher_memory)
+        packet_head head;
+        if (format_.decode(expired.packet, head))
         {
-            item = watchers_.erase(item);
-            continue;
+            note_reset(packet_reset::refused, expired.envelope, head);
         }
-        report.balancer = item->first;
-        port_.send_envelope(item->first, report, {});
-        ++item;
     }
 }
 
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carawayshelf_packets/cold_allowance.hpp"
+#include "carawayshelf_packets/opening_queue.hpp"
 #include "carawayshelf_packets/packet_counters.hpp"
 #include "carawayshelf_packets/packet_format.hpp"
 #include "carawayshelf_packets/packet_observer.hpp"
@@ -8,9 +9,11 @@
 #include "carawayshelf_packets/packet_table.hpp"
 #include "carawayshelf_packets/visit_ring.hpp"
 
+#include <deque>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 namespace carawayshelf
 {
@@ -28,7 +31,8 @@
 };
 
 /** The decisions of the agent beside a backend server whose flows are packets: the last gate for
-    new flows, the search for open ones, and resets. Not thread-safe; no I/O. */
+    new flows, the queue before it, the search for open flows, and resets. Not thread-safe; no I/O.
+ */
 class packet_agent
 {
 public:
@@ -38,7 +42,6 @@
         std::string domain;
         std::string service; ///< What its backend server serves, from the settings.
         duration announce_interval = std::chrono::seconds(1); ///< Of its backend server.
-        std::uint32_t queue_limit = 8; ///< Requests that its backend server queues.
     };
 
     /** How long others may go on without having heard of a change, at most: a follower hears its
@@ -47,10 +50,13 @@
         resets a flow with a fresh table has asked everyone who can hold it. */
     static constexpr duration settle_time = std::chrono::milliseconds(700);
 
-    /** A table that control confirmed longer ago is no ground for resets: a heartbeat of 250 ms, and
-        what may delay it. */
+    /** A table that control confirmed longer ago is no ground for resets: a heartbeat of 250 ms,
+       and what may delay it. */
     static constexpr duration table_fresh_for = std::chrono::milliseconds(400);
 
+    /** Balancers place by reports that are at most this old. */
+    static constexpr duration report_interval = std::chrono::milliseconds(100);
+
     packet_agent(const options& own, const packet_format& format, packet_port& port,
                  packet_counters& counters, packet_observer& observer);
 
@@ -77,23 +83,25 @@
     /** Takes a datagram from the backend server; it may be written to. */
     void take_server_packet(time_point now, char* packet, std::size_t size);
 
-    /** Sends load reports and forgets old flows. Call every report_interval. */
+    /** Sends load reports, refuses what waited too long and forgets old flows. Call every
+        report_interval. */
     void tick(time_point now);
 
-    /** Balancers place by reports that are at most this old. */
-    static constexpr duration report_interval = std::chrono::milliseconds(100);
-
     std::size_t flow_count() const
     {
         return flows_.size();
     }
 
-    double load() const
+    /** Requests under way at the backend server, and openings that wait for it. */
+    std::uint32_t load() const
     {
-        return static_cast<double>(busy_);
+        return busy_ + static_cast<std::uint32_t>(waiting_.size());
     }
 
 private:
+    /** Taken for the time of a request until one was measured. */
+    static constexpr duration first_service_time = std::chrono::milliseconds(20);
+
     enum class flow_state : std::uint8_t
     {
         searching, ///< Given to the backend server, which may not hold it.
@@ -104,61 +112,100 @@
     struct flow
     {
         flow_state state = flow_state::searching;
-        bool is_busy = false;     ///< Counted as a request under way.
-        bool is_placed = false;   ///< Passed the gate here.
-        bool tell_holder = false; ///< The balancer expects it elsewhere.
+        bool is_busy = false;         ///< Counted as a request under way.
+        bool is_placed = false;       ///< Passed the gate here.
+        bool tell_holder = false;     ///< The balancer expects it elsewhere.
+        bool found_free_slot = false; ///< Its request did, so that its time can be measured.
         bool client_finished = false;
         bool server_finished = false;
         endpoint balancer;
         time_point used;
+        time_point busy_since;
+    };
+
+    /** A packet of a client in a buffer that may be written to. */
+    struct client_packet
+    {
+        packet_head head;
+        char* data = nullptr;
+        std::size_t size = 0;
+
+        std::string_view bytes() const
+        {
+            return {data, size};
+        }
+
+        packet_flow flow() const
+        {
+            return {head.source, head.destination};
+        }
     };
 
     using flow_map = std::unordered_map<packet_flow, flow, packet_flow_hasher>;
 
-    void take_opening(time_point now, const packet_envelope& envelope, const packet_head& head,
-                      const packet_route& route, std::string_view bytes, char* packet);
-    void take_flow_packet(time_point now, const packet_envelope& envelope, const packet_head& head,
-                          const packet_route& route, std::string_view bytes, char* packet);
-    void take_returned(time_point now, const packet_head& head, std::string_view bytes,
-                       char* packet);
-    pass_reason check_gate(time_point now, const packet_envelope& envelope,
-                           const endpoint& address, const packet_route& route);
-    const std::string& service() const;
-    bool is_settled(time_point now, const endpoint& address) const;
+    // New flows, in packet_agent.cpp.
     void note_changes(time_point now, const packet_table& next);
+    void take_opening(time_point now, const packet_envelope& envelope, const packet_route& route,
+                      const client_packet& packet);
+    void decide_opening(time_point now, const packet_envelope& envelope, const packet_route& route,
+                        const client_packet& packet);
+    pass_reason check_gate(time_point now, const packet_envelope& envelope,
+                           const packet_route& route, const endpoint& address);
     bool has_room(const packet_envelope& envelope) const;
+    bool is_settled(time_point now, const endpoint& address) const;
     bool is_cold(time_point now) const;
     bool is_server_known(time_point now) const;
-    bool is_table_fresh(time_point now) const;
-    void deliver(const packet_envelope& envelope, std::string_view bytes, char* packet);
-    void pass_on(time_point now, packet_envelope envelope, const packet_head& head,
-                 const packet_route& route, std::string_view bytes, pass_reason why);
+    void accept(time_point now, const packet_envelope& envelope, const client_packet& packet);
+    void find_room_elsewhere(time_point now, packet_envelope envelope, const packet_route& route,
+                             const client_packet& packet);
+    bool queue_opening(time_point now, const packet_envelope& envelope, const packet_route& route,
+                       const client_packet& packet);
+    void admit_waiting(time_point now);
+    void refuse_expired(time_point now);
+
+    // Flows and packets on their way, in packet_agent_flows.cpp.
+    void take_flow_packet(time_point now, const packet_envelope& envelope,
+                          const packet_route& route, const client_packet& packet);
+    void take_returned(time_point now, const client_packet& packet);
+    void deliver(const packet_envelope& envelope, const client_packet& packet);
+    void pass_on(time_point now, packet_envelope envelope, const packet_route& route,
+                 const client_packet& packet, pass_reason why);
     bool add_unvisited(packet_envelope& envelope, const packet_route& route, bool for_new) const;
     void give_up(time_point now, const packet_envelope& envelope, const packet_head& head);
+    bool is_table_fresh(time_point now) const;
     void note_dropped(packet_drop reason, const packet_envelope& envelope, const packet_head& head);
     void note_reset(packet_reset reason, const packet_envelope& envelope, const packet_head& head);
     void note(const char* what, std::string_view reason, const packet_envelope& envelope,
               const packet_head& head);
-    void tell_holder(const packet_flow& key, flow& item);
-    void set_busy(flow& item, bool busy);
-    void forget(flow_map::iterator item);
+    void tell_holder(const packet_flow& key, const endpoint& balancer);
+    void release_unanswered(time_point now);
+    void start_request(time_point now, flow& item);
+    void end_request(time_point now, flow& item, bool was_answered);
+    void forget(time_point now, flow_map::iterator item);
+    void forget_old_flows(time_point now);
     void report_load(time_point now);
+    const std::string& service() const;
 
     options own_;
     const packet_format& format_;
     packet_port& port_;
     packet_counters& counters_;
     packet_observer& observer_;
+
     std::shared_ptr<const packet_table> table_;
     time_point confirmed_;
-    flow_map flows_;
-    time_point member_since_;  ///< When others can be expected to know of this agent.
+    time_point member_since_; ///< When others can be expected to know of this agent.
     bool is_member_ = false;
     std::unordered_map<endpoint, time_point> led_since_; ///< Routes that lead here since lately.
+
+    flow_map flows_;
     visit_ring visits_;
     cold_allowance cold_;
-    std::unordered_map<endpoint, time_point> watchers_;
+    opening_queue waiting_;
+    std::unordered_map<endpoint, time_point> watchers_; ///< Balancers that want load reports.
     std::uint32_t busy_ = 0;
+    std::deque<std::pair<time_point, packet_flow>> answered_openings_; ///< Oldest first.
+    duration service_time_ = first_service_time; ///< Smoothed; of requests that found a free slot.
 
     bool has_server_ = false;
     server_announcement server_;
--- /dev/null
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -0,0 +1,386 @@
+#include "carawayshelf_packets/packet_agent.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+/** An opening that gets no answer, or a request whose answer doesn't end, stops to count as load. */
+constexpr duration busy_for_at_most = std::chrono::seconds(2);
+
+/** A client whose opening was answered sends its request within two ways of 3 ms and some for
+    delays; one that doesn't has left, and takes no room. */
+constexpr duration request_due_after = std::chrono::milliseconds(50);
+
+/** Flows in the cache that were not used for this long are forgotten; longer than the pauses of
+    long flows. */
+constexpr duration flow_memory = std::chrono::seconds(20);
+constexpr duration closed_flow_memory = std::chrono::seconds(2);
+
+/** A balancer that doesn't repeat its wish gets no more load reports. */
+constexpr duration watcher_memory = std::chrono::seconds(3);
+
+/** Data of a full packet; a shorter one ends an answer. */
+constexpr std::uint32_t full_packet_bytes = 1200;
+
+/** Part of a new measurement in the smoothed service time, as one over this. */
+constexpr int service_time_smoothing = 16;
+
+} // namespace
+
+void packet_agent::take_envelope(time_point now, const packet_envelope& envelope, char* data,
+                                 std::size_t size)
+{
+    ++counters_.received;
+    if (envelope.kind == packet_envelope_kind::watching)
+    {
+        watchers_[envelope.balancer] = now;
+        return;
+    }
+    client_packet packet{{}, data, size};
+    if (envelope.kind != packet_envelope_kind::packet ||
+        !format_.decode(packet.bytes(), packet.head))
+    {
+        counters_.drops.add(packet_drop::malformed);
+        return;
+    }
+    const packet_route* route = table_->find_route(packet.head.destination);
+    if (route != nullptr)
+    {
+        packet.head.is_opening ? take_opening(now, envelope, *route, packet)
+                               : take_flow_packet(now, envelope, *route, packet);
+        return;
+    }
+    // A flow may have been opened on a route that is not known here yet.
+    const bool is_known = packet.head.is_opening || table_->had_route(packet.head.destination);
+    if (!is_known || packet.head.is_reset || !is_table_fresh(now) ||
+        envelope.held > table_->held())
+    {
+        note_dropped(packet_drop::no_route, envelope, packet.head);
+        return;
+    }
+    note_reset(packet_reset::no_route, envelope, packet.head);
+}
+
+void packet_agent::take_flow_packet(time_point now, const packet_envelope& envelope,
+                                    const packet_route& route, const client_packet& packet)
+{
+    auto found = flows_.find(packet.flow());
+    if (found == flows_.end())
+    {
+        if (!table_->may_hold(route, service()))
+        {
+            pass_on(now, envelope, route, packet, pass_reason::wrong_service);
+            return;
+        }
+        found = flows_.emplace(packet.flow(), flow{}).first;
+    }
+    flow& item = found->second;
+    item.used = now;
+    item.tell_holder = item.tell_holder || envelope.position > 0;
+    item.balancer = envelope.balancer;
+    item.client_finished =
+        item.client_finished || packet.head.is_finish || packet.head.is_reset;
+    if (packet.head.data_bytes != 0 && item.state != flow_state::searching)
+    {
+        item.state = flow_state::open;
+        start_request(now, item);
+    }
+    if (item.state == flow_state::open && item.tell_holder)
+    {
+        tell_holder(packet.flow(), item.balancer);
+        item.tell_holder = false;
+    }
+    deliver(envelope, packet);
+}
+
+void packet_agent::deliver(const packet_envelope& envelope, const client_packet& packet)
+{
+    format_.set_mark(packet.data, visits_.add(envelope));
+    ++counters_.relayed;
+    port_.send_to_server(packet.bytes());
+}
+
+void packet_agent::take_server_packet(time_point now, char* data, std::size_t size)
+{
+    client_packet packet{{}, data, size};
+    const packet_head& head = packet.head;
+    if (!format_.decode(packet.bytes(), packet.head))
+    {
+        counters_.drops.add(packet_drop::malformed);
+        return;
+    }
+    if (head.is_returned)
+    {
+        take_returned(now, packet);
+        return;
+    }
+    const packet_flow key{head.destination, head.source};
+    flow& item = flows_[key];
+    if (item.state == flow_state::searching)
+    {
+        item.state = flow_state::open;
+    }
+    item.used = now;
+    item.server_finished = item.server_finished || head.is_finish || head.is_reset;
+    const bool ends_answer = head.data_bytes != 0 && head.data_bytes < full_packet_bytes;
+    if (ends_answer || item.server_finished)
+    {
+        end_request(now, item, ends_answer);
+    }
+    if (item.tell_holder && !item.balancer.is_none())
+    {
+        tell_holder(key, item.balancer);
+        item.tell_holder = false;
+    }
+    if (item.state == flow_state::opening && item.is_busy)
+    {
+        answered_openings_.emplace_back(now, key);
+    }
+    ++counters_.replies;
+    port_.send_to_client(head.destination.address, packet.bytes());
+    release_unanswered(now);
+    admit_waiting(now);
+}
+
+void packet_agent::take_returned(time_point now, const client_packet& packet)
+{
+    const packet_envelope* visit = visits_.find(packet.head.mark);
+    const auto known = flows_.find(packet.flow());
+    if (known != flows_.end())
+    {
+        forget(now, known);
+    }
+    const packet_route* route = table_->find_route(packet.head.destination);
+    if (visit == nullptr || route == nullptr)
+    {
+        note_dropped(packet_drop::no_route, packet_envelope{}, packet.head);
+        return;
+    }
+    format_.set_mark(packet.data, 0);
+    pass_on(now, *visit, *route, packet, pass_reason::not_here);
+}
+
+void packet_agent::pass_on(time_point now, packet_envelope envelope, const packet_route& route,
+                           const client_packet& packet, pass_reason why)
+{
+    counters_.passes.add(why);
+    note("passed", pass_reason_names.name(why), envelope, packet.head);
+    envelope.held = std::max(envelope.held, table_->held());
+    const bool was_final = (envelope.flags & opening_flag_final) != 0;
+    ++envelope.position;
+    while (envelope.position < envelope.candidate_count &&
+           envelope.candidates[envelope.position] == own_.data)
+    {
+        ++envelope.position;
+    }
+    const std::uint8_t best = envelope.flags & opening_best_bits;
+    if (was_final || envelope.position >= envelope.candidate_count)
+    {
+        if (packet.head.is_opening && best != 0 && !was_final)
+        {
+            // All are full: the least loaded one queues or refuses it.
+            envelope.flags |= opening_flag_final;
+            envelope.position = static_cast<std::uint8_t>(best - 1U);
+            if (envelope.candidates[envelope.position] == own_.data)
+            {
+                decide_opening(now, envelope, route, packet);
+                return;
+            }
+        }
+        else if (was_final || !add_unvisited(envelope, route, packet.head.is_opening))
+        {
+            give_up(now, envelope, packet.head);
+            return;
+        }
+    }
+    port_.send_envelope(envelope.candidates[envelope.position], envelope, packet.bytes());
+}
+
+bool packet_agent::add_unvisited(packet_envelope& envelope, const packet_route& route,
+                                 bool for_new) const
+{
+    const std::size_t before = envelope.candidate_count;
+    for (const bool silent : {false, true})
+    {
+        for (const std::uint32_t service : route.services)
+        {
+            for (const packet_member& who : table_->members_of(service))
+            {
+                const bool fits = who.is_silent == silent && (!for_new || who.takes_new);
+                if (fits && who.data != own_.data && !envelope.has_candidate(who.data))
+                {
+                    envelope.add_candidate(who.data);
+                }
+            }
+        }
+    }
+    return envelope.candidate_count > before;
+}
+
+void packet_agent::give_up(time_point now, const packet_envelope& envelope,
+                           const packet_head& head)
+{
+    if (head.is_opening)
+    {
+        note_reset(packet_reset::refused, envelope, head);
+        return;
+    }
+    const bool knows_all = is_table_fresh(now) && envelope.held <= table_->held();
+    if (!knows_all || head.is_reset)
+    {
+        note_dropped(packet_drop::lost_flow, envelope, head);
+        return;
+    }
+    note_reset(packet_reset::nowhere, envelope, head);
+}
+
+bool packet_agent::is_table_fresh(time_point now) const
+{
+    return table_->held() != 0 && now - confirmed_ < table_fresh_for;
+}
+
+void packet_agent::note_dropped(packet_drop reason, const packet_envelope& envelope,
+                                const packet_head& head)
+{
+    counters_.drops.add(reason);
+    note("dropped", packet_drop_names.name(reason), envelope, head);
+}
+
+void packet_agent::note_reset(packet_reset reason, const packet_envelope& envelope,
+                              const packet_head& head)
+{
+    counters_.resets.add(reason);
+    note("reset", packet_reset_names.name(reason), envelope, head);
+    port_.send_reset({head.source, head.destination}, reset_sequence(head));
+}
+
+void packet_agent::note(const char* what, std::string_view reason, const packet_envelope& envelope,
+                        const packet_head& head)
+{
+    packet_decision decision;
+    decision.what = what;
+    decision.reason = reason;
+    decision.flow = {head.source, head.destination};
+    decision.is_opening = head.is_opening;
+    decision.held = table_->held();
+    decision.envelope_held = envelope.held;
+    decision.position = envelope.position;
+    decision.candidate_count = envelope.candidate_count;
+    decision.load = load();
+    observer_.note(decision);
+}
+
+void packet_agent::tell_holder(const packet_flow& key, const endpoint& balancer)
+{
+    packet_envelope told;
+    told.kind = packet_envelope_kind::holder;
+    told.held = table_->held();
+    told.balancer = balancer;
+    told.flow = key;
+    port_.send_envelope(balancer, told, {});
+}
+
+void packet_agent::start_request(time_point now, flow& item)
+{
+    if (item.is_busy)
+    {
+        return;
+    }
+    item.is_busy = true;
+    item.found_free_slot = busy_ < server_.slots;
+    item.busy_since = now;
+    ++busy_;
+}
+
+void packet_agent::end_request(time_point now, flow& item, bool was_answered)
+{
+    if (!item.is_busy)
+    {
+        return;
+    }
+    item.is_busy = false;
+    --busy_;
+    if (was_answered && item.found_free_slot)
+    {
+        service_time_ += (now - item.busy_since - service_time_) / service_time_smoothing;
+    }
+}
+
+void packet_agent::release_unanswered(time_point now)
+{
+    while (!answered_openings_.empty() &&
+           now - answered_openings_.front().first >= request_due_after)
+    {
+        const auto found = flows_.find(answered_openings_.front().second);
+        if (found != flows_.end() && found->second.state == flow_state::opening)
+        {
+            end_request(now, found->second, false);
+        }
+        answered_openings_.pop_front();
+    }
+}
+
+void packet_agent::forget(time_point now, flow_map::iterator item)
+{
+    end_request(now, item->second, false);
+    flows_.erase(item);
+}
+
+void packet_agent::tick(time_point now)
+{
+    forget_old_flows(now);
+    refuse_expired(now);
+    release_unanswered(now);
+    admit_waiting(now);
+    report_load(now);
+}
+
+void packet_agent::forget_old_flows(time_point now)
+{
+    for (auto item = flows_.begin(); item != flows_.end();)
+    {
+        const auto current = item++;
+        flow& known = current->second;
+        const duration age = now - known.used;
+        const bool is_closed = known.client_finished && known.server_finished;
+        if (age > busy_for_at_most)
+        {
+            end_request(now, known, false);
+        }
+        if (age > (is_closed ? closed_flow_memory : flow_memory))
+        {
+            forget(now, current);
+        }
+    }
+}
+
+void packet_agent::report_load(time_point now)
+{
+    packet_envelope report;
+    report.kind = packet_envelope_kind::load;
+    report.held = table_->held();
+    report.load =
+        static_cast<std::uint16_t>(std::min<std::uint32_t>(load() * load_unit, UINT16_MAX));
+    const bool takes_new = is_server_known(now) && !server_.is_draining && table_->held() != 0 &&
+                           !table_->is_domain_out(own_.domain);
+    report.flags = static_cast<std::uint8_t>((takes_new ? 0 : load_flag_closed) |
+                                             (is_cold(now) ? load_flag_cold : 0));
+    for (auto item = watchers_.begin(); item != watchers_.end();)
+    {
+        if (now - item->second > watcher_memory)
+        {
+            item = watchers_.erase(item);
+            continue;
+        }
+        report.balancer = item->first;
+        port_.send_envelope(item->first, report, {});
+        ++item;
+    }
+}
+
+} // namespace carawayshelf
--- a/modules/carawayshelf_packets/packet_balancer.cpp
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -23,7 +23,8 @@
 
 packet_balancer::packet_balancer(const options& own, const packet_format& format, packet_port& port,
                                  packet_counters& counters, packet_observer& observer)
-    : own_(own), format_(format), port_(port), counters_(counters), observer_(observer), cache_(own.flow_cache_entries)
+    : own_(own), format_(format), port_(port), counters_(counters), observer_(observer),
+      cache_(own.flow_cache_entries)
 {
 }
 
--- a/modules/carawayshelf_packets/packet_counters.hpp
+++ b/modules/carawayshelf_packets/packet_counters.hpp
@@ -17,11 +17,13 @@
     no_member,   ///< The route has no member to send it to.
     stale_table, ///< The sender held a newer table.
     lost_flow,   ///< Every known member has returned it, but the own table may be too old.
+    client_gone, ///< It had left before there was room.
     send_failed
 };
 
-inline constexpr name_table<packet_drop, 6> packet_drop_names{
-    {"malformed", "no_route", "no_member", "stale_table", "lost_flow", "send_failed"}};
+inline constexpr name_table<packet_drop, 7> packet_drop_names{{"malformed", "no_route", "no_member",
+                                                               "stale_table", "lost_flow",
+                                                               "client_gone", "send_failed"}};
 
 /** Why a flow was reset. */
 enum class packet_reset
@@ -48,7 +50,8 @@
 };
 
 inline constexpr name_table<pass_reason, 9> pass_reason_names{
-    {"none", "wrong_service", "no_server", "draining", "domain_out", "not_settled", "cold", "full", "not_here"}};
+    {"none", "wrong_service", "no_server", "draining", "domain_out", "not_settled", "cold", "full",
+     "not_here"}};
 
 /** Counters of a packet balancer or packet agent; any thread may read them. */
 struct packet_counters
--- a/modules/carawayshelf_packets/packet_port.hpp
+++ b/modules/carawayshelf_packets/packet_port.hpp
@@ -8,8 +8,8 @@
 namespace carawayshelf
 {
 
-/** What the packet cores send through. The bytes are valid until flush() of the driver, which comes
-    before the next datagram is handed in. */
+/** What the packet cores send through. Packets handed in stay valid until flush(), which the driver
+    calls before it takes the next datagrams. */
 class packet_port
 {
 public:
@@ -27,6 +27,9 @@
 
     /** Sends a packet to the agent's backend server. Balancers never do. */
     virtual void send_to_server(std::string_view packet) = 0;
+
+    /** Sends what was collected. */
+    virtual void flush() = 0;
 };
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_packets/packet_table.cpp
+++ b/modules/carawayshelf_packets/packet_table.cpp
@@ -6,8 +6,7 @@
 {
 
 packet_table::packet_table(const subscriber_table& from, const packet_table& before)
-    : held_(from.held()), removed_routes_(before.removed_routes_),
-      domains_out_(from.domains_out())
+    : held_(from.held()), removed_routes_(before.removed_routes_), domains_out_(from.domains_out())
 {
     for (const auto& [address, route] : before.routes_)
     {
@@ -28,6 +27,7 @@
         packet_route& route = routes_[source.address];
         route.requests = source.requests;
         route.timeout_ms = source.timeout_ms;
+        route.target_latency_ms = source.target_latency_ms;
         route.priority = source.priority;
         for (const service_share& share : source.shares)
         {
--- a/modules/carawayshelf_packets/packet_table.hpp
+++ b/modules/carawayshelf_packets/packet_table.hpp
@@ -32,6 +32,7 @@
 {
     request_class requests = request_class::idempotent;
     std::uint32_t timeout_ms = 0;
+    std::uint32_t target_latency_ms = 0;
     std::uint32_t priority = 0;
     std::uint32_t total_weight = 0;
     std::vector<packet_share> shares;
