Histories of packet flows, and what they caught: a cached agent that has left

Generated histories (1,500 at fixed seeds) of flows while servers join, drain, leave and are replaced by other services' at the same address, agents and balancers restart or are cut off, news arrive late and the split changes. Seed 707: a balancer went on sending a flow's packets to an agent that had left the tables, since the hint about the flow's holder was lost; a cached agent now counts only while it is in the table. Five broken rules are each caught. The control histories also cover instances that start from seeds and are replaced at other addresses.

--- a/modules/carawayshelf_packets/packet_balancer.cpp
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -96,7 +96,7 @@
     const std::uint64_t flow_hash = hash_flow(envelope.flow);
     const bool is_copy = head.acknowledged != 0;
     const endpoint known = is_copy ? cache_.find(flow_hash, now) : endpoint{};
-    if (!known.is_none() && !loads_.estimate(now, known).is_suspect)
+    if (table.has_agent(known) && !loads_.estimate(now, known).is_suspect)
     {
         envelope.add_candidate(known);
     }
@@ -127,7 +127,7 @@
 {
     const std::uint64_t flow_hash = hash_flow(envelope.flow);
     const endpoint known = cache_.find(flow_hash, now);
-    if (!known.is_none())
+    if (table.has_agent(known))
     {
         envelope.add_candidate(known);
         return;
--- a/modules/carawayshelf_packets/packet_table.cpp
+++ b/modules/carawayshelf_packets/packet_table.cpp
@@ -63,6 +63,7 @@
         added.is_silent = who.state == member_state::silent;
         added.takes_new = !added.is_silent && who.state != member_state::draining &&
                           domains_out_.count(who.domain) == 0;
+        agents_.insert(added.data);
         members_[index_of(who.service)].push_back(std::move(added));
     }
 }
@@ -139,23 +140,4 @@
     return found == rules_.end() ? 0 : found->second.max_flows;
 }
 
-bool packet_table::has_agent(const endpoint& agent) const
-{
-    const std::vector<endpoint> agents = all_agents();
-    return std::find(agents.begin(), agents.end(), agent) != agents.end();
-}
-
-std::vector<endpoint> packet_table::all_agents() const
-{
-    std::vector<endpoint> agents;
-    for (const std::vector<packet_member>& members : members_)
-    {
-        for (const packet_member& who : members)
-        {
-            agents.push_back(who.data);
-        }
-    }
-    return agents;
-}
-
 } // namespace carawayshelf
--- a/modules/carawayshelf_packets/packet_table.hpp
+++ b/modules/carawayshelf_packets/packet_table.hpp
@@ -59,7 +59,10 @@
     }
 
     /** Whether an agent has a member here. */
-    bool has_agent(const endpoint& agent) const;
+    bool has_agent(const endpoint& agent) const
+    {
+        return agents_.count(agent) != 0;
+    }
 
     /** Members of a service. Precondition: the index comes from a route of this table. */
     const std::vector<packet_member>& members_of(std::uint32_t service) const
@@ -96,7 +99,10 @@
     }
 
     /** Every agent that has a member here. */
-    std::vector<endpoint> all_agents() const;
+    const std::unordered_set<endpoint>& all_agents() const
+    {
+        return agents_;
+    }
 
 private:
     std::uint32_t index_of(const std::string& service);
@@ -104,6 +110,7 @@
     generation held_ = 0;
     std::unordered_map<endpoint, packet_route> routes_;
     std::unordered_set<endpoint> removed_routes_;
+    std::unordered_set<endpoint> agents_;
     std::vector<std::vector<packet_member>> members_;
     std::unordered_map<std::string, std::uint32_t> services_;
     std::unordered_map<std::string, service_rules> rules_;
--- a/tests/fakes/control_world.cpp
+++ b/tests/fakes/control_world.cpp
@@ -17,21 +17,47 @@
 constexpr log_index snapshot_every = 25;
 constexpr std::size_t status_call = ~std::size_t{0};
 const std::string entry_name = "ordering";
+constexpr std::size_t seed_count = 3;
+
+/** The start of the log that all seeds make. */
+snapshot first_snapshot()
+{
+    snapshot base;
+    base.index = 1;
+    base.term = 1;
+    for (std::size_t i = 1; i <= seed_count; ++i)
+    {
+        base.voters.push_back(first_identity(static_cast<instance_slot>(i)));
+    }
+    base.state = encode_state(cluster_state{});
+    return base;
+}
 
 } // namespace
 
-control_world::control_world(std::uint64_t seed, std::size_t instances, broken_control_rules broken)
-    : broken_(broken), random_(seed), instances_(instances), operators_(operator_count)
+control_world::control_world(std::uint64_t seed, std::size_t instances, broken_control_rules broken,
+                             control_membership membership)
+    : broken_(broken), membership_(membership), random_(seed), instances_(instances), operators_(operator_count)
 {
     now_ = time_point(std::chrono::seconds(1000));
     for (std::size_t i = 0; i < instances; ++i)
     {
         instance& item = instances_[i];
-        item.slot = static_cast<instance_slot>(i + 1);
+        item.slot = ++last_slot_;
         item.disk = std::make_unique<memory_log_store>(make_identity(item.slot, random_()));
+        if (membership == control_membership::found && i < seed_count)
+        {
+            item.disk = std::make_unique<memory_log_store>(first_identity(item.slot));
+            item.disk->save_snapshot(first_snapshot(), false);
+            item.disk->save_hard_state({1, 0});
+            item.disk->sync();
+        }
         start(item);
     }
-    instances_[0].core->bootstrap(now_);
+    if (membership == control_membership::listed)
+    {
+        instances_[0].core->bootstrap(now_);
+    }
     advance_to(now_ + std::chrono::seconds(3));
 }
 
@@ -90,7 +116,10 @@
         }
         break;
     case control_step_kind::lose_disk:
-        lose_disk(item);
+        lose_disk(item, false);
+        break;
+    case control_step_kind::replace:
+        lose_disk(item, true);
         break;
     case control_step_kind::cut_one_way:
         cuts_.insert({number, other});
@@ -139,7 +168,8 @@
     stored_state stored;
     item.disk->load(stored);
     item.core = std::make_unique<consensus_core>(consensus_settings{}, stored, random_(), now_);
-    item.renewal = std::make_unique<voter_renewal>(instances_.size());
+    item.renewal = std::make_unique<voter_renewal>(
+        membership_ == control_membership::listed ? instances_.size() : 0);
     item.state = cluster_state();
     if (!stored.base.state.empty())
     {
@@ -157,7 +187,7 @@
     item.disk->lose_power(random_());
 }
 
-void control_world::lose_disk(instance& item)
+void control_world::lose_disk(instance& item, bool at_another_address)
 {
     if (!ask_whether_safe())
     {
@@ -169,6 +199,10 @@
         return;
     }
     crash(item);
+    if (at_another_address)
+    {
+        item.slot = ++last_slot_;
+    }
     item.disk = std::make_unique<memory_log_store>(
         broken_.old_identity_votes ? old : make_identity(item.slot, random_()));
     start(item);
--- a/tests/fakes/control_world.hpp
+++ b/tests/fakes/control_world.hpp
@@ -26,6 +26,7 @@
     crash_while_writing,
     restart,
     lose_disk, ///< Only where the leader's status calls it safe.
+    replace,   ///< The same, and another instance with an address of its own takes its place.
     cut_one_way,
     cut_off,
     heal,
@@ -41,6 +42,13 @@
     std::uint32_t pick = 0;
 };
 
+/** How the control instances of a history come to know each other. */
+enum class control_membership
+{
+    listed, ///< A fixed list; one of them is told to start a cluster.
+    found   ///< Seeds start the cluster together; others join, and take the place of lost ones.
+};
+
 /** Rules that a test can break, to show that the checks catch it. */
 struct broken_control_rules
 {
@@ -56,7 +64,8 @@
 class control_world
 {
 public:
-    control_world(std::uint64_t seed, std::size_t instances, broken_control_rules broken);
+    control_world(std::uint64_t seed, std::size_t instances, broken_control_rules broken,
+                  control_membership membership = control_membership::listed);
     ~control_world();
 
     void run(const std::vector<control_step>& steps);
@@ -118,7 +127,7 @@
     void take_step(const control_step& step);
     void start(instance& item);
     void crash(instance& item);
-    void lose_disk(instance& item);
+    void lose_disk(instance& item, bool at_another_address);
     void advance_to(time_point until);
     void pump(instance& item);
     bool store(instance& item, const consensus_output& output);
@@ -139,6 +148,8 @@
     std::uint32_t random(std::uint32_t below);
 
     broken_control_rules broken_;
+    control_membership membership_;
+    instance_slot last_slot_ = 0;
     std::mt19937_64 random_;
     time_point now_{};
     std::vector<instance> instances_;
--- /dev/null
+++ b/tests/fakes/packet_world.hpp
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "carawayshelf_catalogue/cluster_state.hpp"
+#include "carawayshelf_packets/carawayshelf_packets.hpp"
+#include "test_packets.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace carawayshelf::fakes
+{
+
+/** What can happen in a history of packet flows. */
+enum class packet_step_kind
+{
+    open_flow,
+    send_request,
+    advance,
+    join,
+    drain,
+    leave,
+    restart_agent,
+    restart_balancer,
+    add_balancer,
+    cut_agent, ///< From control, for a while.
+    cut_balancer,
+    reuse_address, ///< A server crashes for good; another service's one starts at its address.
+    change_split,
+    domain_out,
+    domain_in,
+    drop_route,
+    bring_route,
+    count
+};
+
+struct packet_step
+{
+    packet_step_kind kind = packet_step_kind::advance;
+    std::uint32_t pick = 0;
+};
+
+/** Rules that a test can break, to show that the checks catch it. */
+struct broken_packet_rules
+{
+    bool others_unknown = false;         ///< Agents hear of no member but themselves.
+    bool departures_hidden = false;      ///< Balancers don't hear of members that left.
+    bool drain_not_announced = false;    ///< The gate isn't told that its server drains.
+    bool packet_changed = false;         ///< An agent changes what it carries.
+    bool wrong_service_served = false;   ///< The gate takes its server for one of another service.
+};
+
+/** Balancers, agents, backend servers, clients and a control whose news arrive late, in virtual
+    time. Checks what must always hold: an open flow isn't reset by others and goes on at its server;
+    a new flow reaches only servers that may take it; packets arrive as they were sent. */
+class packet_world
+{
+public:
+    packet_world(std::uint64_t seed, broken_packet_rules broken);
+    ~packet_world();
+
+    void run(const std::vector<packet_step>& steps);
+
+    const std::string& violation() const
+    {
+        return violation_;
+    }
+
+    std::uint64_t answered() const
+    {
+        return answered_;
+    }
+
+private:
+    struct balancer_node;
+    struct agent_node;
+
+    enum class flow_phase
+    {
+        opening,
+        open,
+        ended
+    };
+
+    struct client_flow
+    {
+        packet_flow ends;
+        flow_phase phase = flow_phase::opening;
+        std::uint32_t server_number = 0; ///< Of the server whose answer to the opening came first.
+        std::size_t server = 0;          ///< Where the handshake ended.
+        std::uint64_t server_life = 0;
+        bool is_at_server = false;
+        std::uint32_t sent = 0;
+        std::uint32_t answered = 0;
+    };
+
+    void take_step(const packet_step& step);
+    void at(duration later, std::function<void()> what);
+    void advance(duration span);
+    void fail(const std::string& what);
+    std::uint32_t random(std::uint32_t below);
+    duration delay();
+
+    // Control, in packet_world.cpp.
+    void change(const carawayshelf::change& edit);
+    void publish_soon();
+    void publish_to(balancer_node& node);
+    void publish_to(agent_node& node);
+    void confirm_all();
+    traffic_configuration make_configuration() const;
+    void put_configuration();
+
+    // Nodes.
+    std::size_t add_agent(const std::string& service);
+    void start_agent(std::size_t index);
+    void announce_member_of(std::size_t index);
+    void announce_server(std::size_t index);
+    void add_balancer();
+    void start_balancer(std::size_t index);
+
+    // Packets, in packet_world_traffic.cpp.
+    void open_flow(std::uint32_t pick);
+    void send_opening(std::size_t flow, std::uint32_t copy);
+    void send_request(std::size_t flow, std::uint32_t attempt);
+    void route_packet(const test_packets::layout& packet);
+    void deliver_envelope(const endpoint& from, const endpoint& to, const packet_envelope& envelope,
+                          const std::string& packet);
+    void serve(std::size_t index, std::string packet);
+    void serve_opening(std::size_t index, const test_packets::layout& packet);
+    void check_opening(std::size_t index, const test_packets::layout& packet);
+    void reply(std::size_t index, const test_packets::layout& packet);
+    void receive(const std::string& packet);
+    void receive_reset(std::size_t flow);
+    void check_open_flows();
+    bool may_be_lost(const client_flow& flow) const;
+
+    broken_packet_rules broken_;
+    std::mt19937_64 random_;
+    test_packets format_;
+    time_point now_;
+    std::multimap<time_point, std::function<void()>> events_;
+    cluster_state truth_;
+    generation last_generation_ = 0;
+    std::map<generation, time_point> made_at_;
+    bool has_route_ = true;
+    std::uint32_t first_share_ = 100;
+    std::uint64_t version_ = 0;
+    time_point route_changed_;
+    std::vector<std::unique_ptr<balancer_node>> balancers_;
+    std::vector<std::unique_ptr<agent_node>> agents_;
+    std::vector<client_flow> flows_;
+    std::map<packet_flow, std::size_t, bool (*)(const packet_flow&, const packet_flow&)> by_ends_;
+    std::uint32_t last_number_ = 0;
+    bool loses_datagrams_ = true;
+    std::uint64_t answered_ = 0;
+    std::string violation_;
+};
+
+} // namespace carawayshelf::fakes
--- /dev/null
+++ b/tests/fakes/packet_world_traffic.cpp
@@ -0,0 +1,312 @@
+#include "packet_world.hpp"
+
+#include "packet_world_nodes.hpp"
+
+namespace carawayshelf::fakes
+{
+
+namespace
+{
+
+constexpr std::uint32_t client_network = 0x64400000;
+const endpoint service_address{0xC6120001, 443};
+constexpr std::array<std::uint32_t, 3> copy_after_ms = {0, 200, 600};
+constexpr std::array<std::uint32_t, 4> attempt_after_ms = {0, 200, 600, 1400};
+constexpr std::uint32_t loss_one_in = 100;
+constexpr std::uint32_t answer_bytes = 100;
+
+/** News of a domain's mark reach an agent in touch sooner than this. */
+constexpr duration news_limit = std::chrono::milliseconds(400);
+
+} // namespace
+
+void packet_world::open_flow(std::uint32_t pick)
+{
+    client_flow flow;
+    flow.ends = {{client_network + pick % 7, static_cast<std::uint16_t>(2000 + flows_.size())},
+                 service_address};
+    by_ends_[flow.ends] = flows_.size();
+    flows_.push_back(flow);
+    send_opening(flows_.size() - 1, 0);
+}
+
+void packet_world::send_opening(std::size_t flow, std::uint32_t copy)
+{
+    client_flow& own = flows_[flow];
+    if (own.phase != flow_phase::opening || own.server_number != 0)
+    {
+        return;
+    }
+    test_packets::layout packet;
+    packet.head.source = own.ends.client;
+    packet.head.destination = own.ends.service;
+    packet.head.is_opening = true;
+    packet.head.acknowledged = copy;
+    packet.content = static_cast<std::uint32_t>(flow);
+    route_packet(packet);
+    if (copy + 1 < copy_after_ms.size())
+    {
+        at(std::chrono::milliseconds(copy_after_ms[copy + 1] - copy_after_ms[copy]),
+           [this, flow, copy] { send_opening(flow, copy + 1); });
+    }
+}
+
+void packet_world::send_request(std::size_t flow, std::uint32_t attempt)
+{
+    client_flow& own = flows_[flow];
+    if (own.phase == flow_phase::ended || own.server_number == 0 ||
+        (attempt != 0 && own.answered == own.sent))
+    {
+        return;
+    }
+    own.sent += attempt == 0 ? 1 : 0;
+    test_packets::layout packet;
+    packet.head.source = own.ends.client;
+    packet.head.destination = own.ends.service;
+    packet.head.acknowledged = own.server_number;
+    packet.head.data_bytes = 10;
+    packet.content = static_cast<std::uint32_t>(flow);
+    packet.sequence = own.sent;
+    route_packet(packet);
+    if (attempt + 1 < attempt_after_ms.size())
+    {
+        at(std::chrono::milliseconds(attempt_after_ms[attempt + 1] - attempt_after_ms[attempt]),
+           [this, flow, attempt] { send_request(flow, attempt + 1); });
+    }
+}
+
+/** The routers hash over the balancers that are ready, so a flow moves when one comes or goes. */
+void packet_world::route_packet(const test_packets::layout& packet)
+{
+    std::vector<std::size_t> ready;
+    for (std::size_t i = 0; i < balancers_.size(); ++i)
+    {
+        if (balancers_[i]->is_ready)
+        {
+            ready.push_back(i);
+        }
+    }
+    if (ready.empty() || (loses_datagrams_ && random(loss_one_in) == 0))
+    {
+        return;
+    }
+    const std::uint64_t hash = hash_flow({packet.head.source, packet.head.destination});
+    const std::size_t index = ready[hash % ready.size()];
+    at(delay(),
+       [this, index, packet]
+       {
+           balancer_node& node = *balancers_[index];
+           const bool is_fresh = node.is_ready && now_ - node.confirmed < packet_agent::table_fresh_for;
+           node.core->take_packet(now_, *node.traffic_table, is_fresh, test_packets::encode(packet));
+       });
+}
+
+void packet_world::deliver_envelope(const endpoint& from, const endpoint& to,
+                                    const packet_envelope& envelope, const std::string& packet)
+{
+    if (loses_datagrams_ && random(loss_one_in) == 0)
+    {
+        return;
+    }
+    std::string carried = packet;
+    if (broken_.packet_changed && !carried.empty())
+    {
+        test_packets::layout changed = test_packets::read(carried);
+        changed.content ^= 1U;
+        carried = test_packets::encode(changed);
+    }
+    at(delay(),
+       [this, from, to, envelope, carried]() mutable
+       {
+           for (const std::unique_ptr<agent_node>& node : agents_)
+           {
+               if (node->data == to)
+               {
+                   node->core->take_envelope(now_, envelope, carried.data(), carried.size());
+               }
+           }
+           for (const std::unique_ptr<balancer_node>& node : balancers_)
+           {
+               if (node->data == to)
+               {
+                   node->core->take_envelope(now_, envelope, from);
+               }
+           }
+       });
+}
+
+/** The backend server: answers what it holds and returns the rest. */
+void packet_world::serve(std::size_t index, std::string bytes)
+{
+    agent_node& node = *agents_[index];
+    if (!node.server_lives)
+    {
+        return;
+    }
+    test_packets::layout packet = test_packets::read(bytes);
+    const packet_flow ends{packet.head.source, packet.head.destination};
+    const auto sender = by_ends_.find(ends);
+    if (sender == by_ends_.end() || packet.content != sender->second)
+    {
+        fail("a server got a packet that its sender didn't write so");
+        return;
+    }
+    if (packet.head.is_opening)
+    {
+        serve_opening(index, packet);
+        return;
+    }
+    const auto held = node.held.find(ends);
+    if (held == node.held.end() || held->second.number != packet.head.acknowledged)
+    {
+        packet.head.is_returned = true;
+        reply(index, packet);
+        return;
+    }
+    client_flow& flow = flows_[sender->second];
+    held->second.is_open = true;
+    flow.is_at_server = true;
+    flow.server = index;
+    flow.server_life = node.server_life;
+    test_packets::layout answer;
+    answer.head.source = ends.service;
+    answer.head.destination = ends.client;
+    answer.head.data_bytes = answer_bytes;
+    answer.content = packet.content;
+    answer.sequence = packet.sequence;
+    at(std::chrono::milliseconds(5 + random(30)), [this, index, answer] { reply(index, answer); });
+}
+
+void packet_world::serve_opening(std::size_t index, const test_packets::layout& packet)
+{
+    agent_node& node = *agents_[index];
+    const packet_flow ends{packet.head.source, packet.head.destination};
+    if (node.held.count(ends) == 0)
+    {
+        check_opening(index, packet);
+        node.held[ends].number = ++last_number_;
+    }
+    test_packets::layout answer;
+    answer.head.source = ends.service;
+    answer.head.destination = ends.client;
+    answer.content = packet.content;
+    answer.sequence = node.held[ends].number;
+    reply(index, answer);
+}
+
+void packet_world::check_opening(std::size_t index, const test_packets::layout& /*packet*/)
+{
+    const agent_node& node = *agents_[index];
+    if (node.service == "stranger")
+    {
+        fail("a new flow reached a server of another service");
+    }
+    if (node.drain_is_acknowledged && now_ > node.drain_acknowledged + std::chrono::milliseconds(1))
+    {
+        fail("a new flow reached a server whose draining was acknowledged");
+    }
+    const auto domain = truth_.data().domains.find(node.domain);
+    const bool is_out = domain != truth_.data().domains.end() && domain->second.out;
+    if (is_out && now_ >= node.cut_until + news_limit &&
+        now_ - made_at_[domain->second.changed_at] > news_limit)
+    {
+        fail("a new flow reached a server whose failure domain is out");
+    }
+}
+
+void packet_world::reply(std::size_t index, const test_packets::layout& packet)
+{
+    const std::uint64_t life = agents_[index]->life;
+    at(std::chrono::microseconds(50),
+       [this, index, packet, life]
+       {
+           agent_node& node = *agents_[index];
+           if (node.life == life && node.server_lives)
+           {
+               std::string bytes = test_packets::encode(packet);
+               node.core->take_server_packet(now_, bytes.data(), bytes.size());
+           }
+       });
+}
+
+void packet_world::receive(const std::string& bytes)
+{
+    const test_packets::layout packet = test_packets::read(bytes);
+    const auto found = by_ends_.find({packet.head.destination, packet.head.source});
+    if (found == by_ends_.end())
+    {
+        fail("a client got a packet of no flow");
+        return;
+    }
+    client_flow& flow = flows_[found->second];
+    if (packet.head.is_reset)
+    {
+        receive_reset(found->second);
+        return;
+    }
+    if (packet.head.data_bytes == 0)
+    {
+        if (flow.phase == flow_phase::opening && flow.server_number == 0)
+        {
+            flow.server_number = packet.sequence;
+            flow.phase = flow_phase::open;
+            send_request(found->second, 0);
+        }
+        return;
+    }
+    if (packet.content != found->second)
+    {
+        fail("a client got an answer of another flow");
+    }
+    if (packet.sequence == flow.sent && flow.answered != flow.sent)
+    {
+        flow.answered = flow.sent;
+        ++answered_;
+    }
+}
+
+void packet_world::receive_reset(std::size_t index)
+{
+    client_flow& flow = flows_[index];
+    if (flow.is_at_server && flow.phase == flow_phase::open && !may_be_lost(flow))
+    {
+        fail("open flow " + std::to_string(index) + " at " + agents_[flow.server]->name +
+             " was reset, though its server lives");
+    }
+    flow.phase = flow_phase::ended;
+}
+
+/** Whether a flow may end: its server has left, or its route was dropped at some time. */
+bool packet_world::may_be_lost(const client_flow& flow) const
+{
+    const agent_node& server = *agents_[flow.server];
+    return !server.server_lives || server.server_life != flow.server_life ||
+           route_changed_ != time_point();
+}
+
+void packet_world::check_open_flows()
+{
+    loses_datagrams_ = false;
+    std::vector<std::size_t> asked;
+    for (std::size_t i = 0; i < flows_.size(); ++i)
+    {
+        if (flows_[i].phase == flow_phase::open && flows_[i].is_at_server &&
+            !may_be_lost(flows_[i]))
+        {
+            asked.push_back(i);
+            send_request(i, 0);
+        }
+    }
+    advance(std::chrono::seconds(3));
+    for (const std::size_t index : asked)
+    {
+        const client_flow& flow = flows_[index];
+        if (flow.phase != flow_phase::open || flow.answered != flow.sent)
+        {
+            fail("open flow " + std::to_string(index) + " at " + agents_[flow.server]->name +
+                 " got no answer any more");
+        }
+    }
+}
+
+} // namespace carawayshelf::fakes
--- a/tests/unit/control_history_test.cpp
+++ b/tests/unit/control_history_test.cpp
@@ -25,8 +25,9 @@
     return text == nullptr ? default_histories : std::strtoull(text, nullptr, 10);
 }
 
-rc::Gen<std::vector<control_step>> any_history()
+rc::Gen<std::vector<control_step>> any_history(control_membership membership)
 {
+    const std::size_t replacements = membership == control_membership::found ? 2 : 0;
     const rc::Gen<control_step_kind> kinds = rc::gen::weightedElement<control_step_kind>({
         {40, control_step_kind::operate},
         {36, control_step_kind::advance},
@@ -34,6 +35,7 @@
         {3, control_step_kind::crash_while_writing},
         {7, control_step_kind::restart},
         {2, control_step_kind::lose_disk},
+        {replacements, control_step_kind::replace},
         {3, control_step_kind::cut_one_way},
         {2, control_step_kind::cut_off},
         {5, control_step_kind::heal},
@@ -50,26 +52,23 @@
 }
 
 /** Runs the history of a seed, with 3 or 5 instances; tells what was violated, or nothing. */
-std::string check_seed(std::uint64_t seed, broken_control_rules broken, std::uint64_t& accepted)
+std::string check_seed(std::uint64_t seed, broken_control_rules broken, std::uint64_t& accepted,
+                       control_membership membership = control_membership::listed)
 {
-    const std::vector<control_step> steps = any_history()(rc::Random(seed), history_size).value();
-    control_world world(seed, seed % 2 == 0 ? 3 : 5, broken);
+    const std::vector<control_step> steps = any_history(membership)(rc::Random(seed), history_size).value();
+    control_world world(seed, seed % 2 == 0 ? 3 : 5, broken, membership);
     world.run(steps);
     accepted += world.accepted();
     return world.violation();
 }
 
-} // namespace
-
-BOOST_AUTO_TEST_SUITE(control_history)
-
-BOOST_AUTO_TEST_CASE(operators_see_a_linearizable_catalogue)
+void check_linearizable(control_membership membership)
 {
     std::uint64_t broken_seeds = 0;
     std::uint64_t accepted = 0;
     for (std::uint64_t seed = 1; seed <= histories_to_run(); ++seed)
     {
-        const std::string violation = check_seed(seed, broken_control_rules{}, accepted);
+        const std::string violation = check_seed(seed, broken_control_rules{}, accepted, membership);
         if (!violation.empty())
         {
             ++broken_seeds;
@@ -81,6 +80,20 @@
     BOOST_TEST(accepted > 2 * histories_to_run());
 }
 
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(control_history)
+
+BOOST_AUTO_TEST_CASE(operators_see_a_linearizable_catalogue)
+{
+    check_linearizable(control_membership::listed);
+}
+
+BOOST_AUTO_TEST_CASE(so_they_do_where_instances_find_each_other_and_are_replaced)
+{
+    check_linearizable(control_membership::found);
+}
+
 BOOST_AUTO_TEST_CASE(a_broken_rule_is_caught)
 {
     struct rule_case
--- /dev/null
+++ b/tests/unit/packet_history_test.cpp
@@ -0,0 +1,118 @@
+/** @file
+    Flows of packets while servers join, drain and leave, agents and balancers restart, news arrive
+    late, agents are cut off and the configuration changes: an open flow goes on at its server, and
+    new flows reach only servers that may take them. Time is virtual, seeds are fixed.
+*/
+#include "packet_world.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+
+namespace carawayshelf::fakes
+{
+
+namespace
+{
+
+constexpr std::uint64_t default_histories = 1500;
+constexpr int history_size = 120;
+
+std::uint64_t histories_to_run()
+{
+    const char* text = std::getenv("CARAWAYSHELF_PACKET_HISTORIES");
+    return text == nullptr ? default_histories : std::strtoull(text, nullptr, 10);
+}
+
+/** @param with_route_changes  a route that is dropped may end its flows, so most histories keep it */
+rc::Gen<std::vector<packet_step>> any_history(bool with_route_changes)
+{
+    const std::size_t route_weight = with_route_changes ? 2 : 0;
+    const rc::Gen<packet_step_kind> kinds = rc::gen::weightedElement<packet_step_kind>({
+        {30, packet_step_kind::open_flow},     {24, packet_step_kind::send_request},
+        {36, packet_step_kind::advance},       {4, packet_step_kind::join},
+        {3, packet_step_kind::drain},          {4, packet_step_kind::leave},
+        {3, packet_step_kind::restart_agent},  {3, packet_step_kind::restart_balancer},
+        {2, packet_step_kind::add_balancer},   {3, packet_step_kind::cut_agent},
+        {2, packet_step_kind::cut_balancer},   {1, packet_step_kind::reuse_address},
+        {3, packet_step_kind::change_split},   {2, packet_step_kind::domain_out},
+        {3, packet_step_kind::domain_in},      {route_weight, packet_step_kind::drop_route},
+        {route_weight, packet_step_kind::bring_route},
+    });
+    const rc::Gen<packet_step> steps = rc::gen::apply(
+        [](packet_step_kind kind, std::uint32_t pick) {
+            return packet_step{kind, pick};
+        },
+        kinds, rc::gen::inRange<std::uint32_t>(0, 1000));
+    return rc::gen::container<std::vector<packet_step>>(history_size, steps);
+}
+
+std::string check_seed(std::uint64_t seed, broken_packet_rules broken, std::uint64_t& answered)
+{
+    const bool with_route_changes = seed % 5 == 0;
+    const std::vector<packet_step> steps =
+        any_history(with_route_changes)(rc::Random(seed), history_size).value();
+    packet_world world(seed, broken);
+    world.run(steps);
+    answered += world.answered();
+    return world.violation();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(packet_history)
+
+BOOST_AUTO_TEST_CASE(every_promise_holds_in_generated_histories)
+{
+    std::uint64_t answered = 0;
+    std::uint64_t broken_seeds = 0;
+    for (std::uint64_t seed = 1; seed <= histories_to_run(); ++seed)
+    {
+        const std::string violation = check_seed(seed, broken_packet_rules{}, answered);
+        if (!violation.empty())
+        {
+            ++broken_seeds;
+            BOOST_TEST_MESSAGE("seed " << seed << ": " << violation);
+        }
+    }
+    BOOST_TEST_MESSAGE(answered << " requests answered");
+    BOOST_TEST(broken_seeds == 0U);
+    BOOST_TEST(answered > 10 * histories_to_run());
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_rule_is_caught)
+{
+    struct rule_case
+    {
+        const char* name;
+        broken_packet_rules broken;
+    };
+    std::vector<rule_case> cases(5);
+    cases[0].name = "agents know no others";
+    cases[0].broken.others_unknown = true;
+    cases[1].name = "departures hidden";
+    cases[1].broken.departures_hidden = true;
+    cases[2].name = "drain not announced";
+    cases[2].broken.drain_not_announced = true;
+    cases[3].name = "packet changed";
+    cases[3].broken.packet_changed = true;
+    cases[4].name = "wrong service served";
+    cases[4].broken.wrong_service_served = true;
+    for (const rule_case& item : cases)
+    {
+        std::string violation;
+        std::uint64_t seed = 0;
+        std::uint64_t answered = 0;
+        while (violation.empty() && seed < default_histories)
+        {
+            violation = check_seed(++seed, item.broken, answered);
+        }
+        BOOST_TEST_MESSAGE(item.name << " is caught by seed " << seed << ": " << violation);
+        BOOST_CHECK_MESSAGE(!violation.empty(), item.name);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace carawayshelf::fakes
