--- a/modules/carawayshelf_packets/opening_queue.hpp
+++ b/modules/carawayshelf_packets/opening_queue.hpp
@@ -9,8 +9,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <tuple>
+#include <unordered_map>
 #include <vector>
 
 namespace carawayshelf
@@ -22,7 +22,7 @@
     packet_envelope envelope;
     packet_flow flow;
     std::string packet;
-    time_point give_up; ///< After this it is refused.
+    time_point give_up;    ///< After this it is refused.
     time_point late_after; ///< After this its answer would come later than its client hopes.
     time_point heard;      ///< When it, or a copy of it, came last.
 };
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-/** An opening that gets no answer, or a request whose answer doesn't end, stops to count as load. */
+/** An opening that gets no answer, or a request whose answer doesn't end, stops to count as load.
+ */
 constexpr duration busy_for_at_most = std::chrono::seconds(2);
 
 /** A client whose opening was answered sends its request within two ways of 3 ms and some for
@@ -57,8 +58,7 @@
     }
     // A flow may have been opened on a route that is not known here yet.
     const bool is_known = packet.head.is_opening || table_->had_route(packet.head.destination);
-    if (!is_known || packet.head.is_reset || !is_table_fresh(now) ||
-        envelope.held > table_->held())
+    if (!is_known || packet.head.is_reset || !is_table_fresh(now) || envelope.held > table_->held())
     {
         note_dropped(packet_drop::no_route, envelope, packet.head);
         return;
@@ -83,8 +83,7 @@
     item.used = now;
     item.tell_holder = item.tell_holder || envelope.position > 0;
     item.balancer = envelope.balancer;
-    item.client_finished =
-        item.client_finished || packet.head.is_finish || packet.head.is_reset;
+    item.client_finished = item.client_finished || packet.head.is_finish || packet.head.is_reset;
     if (packet.head.data_bytes != 0 && item.state != flow_state::searching)
     {
         item.state = flow_state::open;
@@ -222,8 +221,7 @@
     return envelope.candidate_count > before;
 }
 
-void packet_agent::give_up(time_point now, const packet_envelope& envelope,
-                           const packet_head& head)
+void packet_agent::give_up(time_point now, const packet_envelope& envelope, const packet_head& head)
 {
     if (head.is_opening)
     {
--- a/tests/fakes/control_world.cpp
+++ b/tests/fakes/control_world.cpp
@@ -37,7 +37,8 @@
 
 control_world::control_world(std::uint64_t seed, std::size_t instances, broken_control_rules broken,
                              control_membership membership)
-    : broken_(broken), membership_(membership), random_(seed), instances_(instances), operators_(operator_count)
+    : broken_(broken), membership_(membership), random_(seed), instances_(instances),
+      operators_(operator_count)
 {
     now_ = time_point(std::chrono::seconds(1000));
     for (std::size_t i = 0; i < instances; ++i)
--- a/tests/fakes/packet_world.cpp
+++ b/tests/fakes/packet_world.cpp
@@ -254,10 +254,12 @@
     table_update update = truth_.collect_update(node.table.held(), "");
     if (broken_.others_unknown)
     {
-        const auto is_other = [&node](const member& who) { return who.data != node.data; };
-        update.members.erase(
-            std::remove_if(update.members.begin(), update.members.end(), is_other),
-            update.members.end());
+        const auto is_other = [&node](const member& who)
+        {
+            return who.data != node.data;
+        };
+        update.members.erase(std::remove_if(update.members.begin(), update.members.end(), is_other),
+                             update.members.end());
     }
     if (now_ < node.cut_until || !node.table.apply(update))
     {
@@ -299,11 +301,17 @@
     node.service = service;
     node.port.on_envelope = [this, &node](const endpoint& to, const packet_envelope& envelope,
                                           const std::string& packet)
-    { deliver_envelope(node.data, to, envelope, packet); };
+    {
+        deliver_envelope(node.data, to, envelope, packet);
+    };
     node.port.on_client_packet = [this](const std::string& packet)
-    { at(delay(), [this, packet] { receive(packet); }); };
+    {
+        at(delay(), [this, packet] { receive(packet); });
+    };
     node.port.on_server_packet = [this, index](const std::string& packet)
-    { at(std::chrono::microseconds(50), [this, index, packet] { serve(index, packet); }); };
+    {
+        at(std::chrono::microseconds(50), [this, index, packet] { serve(index, packet); });
+    };
     start_agent(index);
     return index;
 }
@@ -423,9 +431,13 @@
     node.data = {balancer_network + static_cast<std::uint32_t>(index) + 1, data_port};
     node.port.on_envelope = [this, &node](const endpoint& to, const packet_envelope& envelope,
                                           const std::string& packet)
-    { deliver_envelope(node.data, to, envelope, packet); };
+    {
+        deliver_envelope(node.data, to, envelope, packet);
+    };
     node.port.on_client_packet = [this](const std::string& packet)
-    { at(delay(), [this, packet] { receive(packet); }); };
+    {
+        at(delay(), [this, packet] { receive(packet); });
+    };
     start_balancer(index);
 }
 
@@ -440,7 +452,8 @@
     own.flow_cache_entries = 64;
     node.core =
         std::make_unique<packet_balancer>(own, format_, node.port, node.counters, node.observer);
-    at(std::chrono::milliseconds(20 + random(100)), [this, index] { publish_to(*balancers_[index]); });
+    at(std::chrono::milliseconds(20 + random(100)),
+       [this, index] { publish_to(*balancers_[index]); });
 }
 
 } // namespace carawayshelf::fakes
--- a/tests/fakes/packet_world.hpp
+++ b/tests/fakes/packet_world.hpp
@@ -47,16 +47,16 @@
 /** Rules that a test can break, to show that the checks catch it. */
 struct broken_packet_rules
 {
-    bool others_unknown = false;         ///< Agents hear of no member but themselves.
-    bool departures_hidden = false;      ///< Balancers don't hear of members that left.
-    bool drain_not_announced = false;    ///< The gate isn't told that its server drains.
-    bool packet_changed = false;         ///< An agent changes what it carries.
-    bool wrong_service_served = false;   ///< The gate takes its server for one of another service.
+    bool others_unknown = false;       ///< Agents hear of no member but themselves.
+    bool departures_hidden = false;    ///< Balancers don't hear of members that left.
+    bool drain_not_announced = false;  ///< The gate isn't told that its server drains.
+    bool packet_changed = false;       ///< An agent changes what it carries.
+    bool wrong_service_served = false; ///< The gate takes its server for one of another service.
 };
 
 /** Balancers, agents, backend servers, clients and a control whose news arrive late, in virtual
-    time. Checks what must always hold: an open flow isn't reset by others and goes on at its server;
-    a new flow reaches only servers that may take it; packets arrive as they were sent. */
+    time. Checks what must always hold: an open flow isn't reset by others and goes on at its
+   server; a new flow reaches only servers that may take it; packets arrive as they were sent. */
 class packet_world
 {
 public:
--- a/tests/fakes/packet_world_traffic.cpp
+++ b/tests/fakes/packet_world_traffic.cpp
@@ -96,8 +96,10 @@
        [this, index, packet]
        {
            balancer_node& node = *balancers_[index];
-           const bool is_fresh = node.is_ready && now_ - node.confirmed < packet_agent::table_fresh_for;
-           node.core->take_packet(now_, *node.traffic_table, is_fresh, test_packets::encode(packet));
+           const bool is_fresh =
+               node.is_ready && now_ - node.confirmed < packet_agent::table_fresh_for;
+           node.core->take_packet(now_, *node.traffic_table, is_fresh,
+                                  test_packets::encode(packet));
        });
 }
 
--- /dev/null
+++ b/tests/platform/platform_test.cpp
@@ -0,0 +1,316 @@
+/** @file
+    What the platform's packets, heartbeats and configurations are decoded into, and that nothing
+    malformed gets through. Seeds of the generated inputs are fixed.
+*/
+#include "http_calls.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+#include <string>
+
+namespace carawayshelf::platform
+{
+
+namespace
+{
+
+const std::string good_configuration =
+    R"({"version":7,"routes":[)"
+    R"({"name":"r-1","hostname":"198.18.0.1","path_prefix":"/8443/","route_type":"idempotent",)"
+    R"("timeout_ms":1500,"target_latency_ms":100,"priority":2,"weighted_backends":[)"
+    R"({"backend":"a","weight":90},{"backend":"b","weight":10}],"max_attempts":2},)"
+    R"({"name":"r-2","hostname":"198.18.0.1","path_prefix":"/8080/","route_type":"non_idempotent",)"
+    R"("timeout_ms":2000,"target_latency_ms":120,"priority":1,"backend":"a","max_attempts":2}],)"
+    R"("services":[{"name":"a","max_connections":2000,"warmup_per_s":1.5},)"
+    R"({"name":"b","max_connections":2000}],"limits":{"idle_timeout_ms":15000}})";
+
+const std::string good_heartbeat =
+    R"({"backend":"a","address":"10.128.0.9:8080","zone":"z","version":"v1","capacity_slots":2,)"
+    R"("state":"ready","warmup_left_ms":250,"seq":4,"born":1700000000000})";
+
+/** Bytes of a SYN from 100.64.0.7:40001 to 198.18.0.1:443. */
+const std::string opening_bytes("\x44\x33\x22\x11\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x40"
+                                "\x01\x00\x12\xc6\x07\x00\x40\x64\xbb\x01\x41\x9c\xd5\xc3\xb2\xa1",
+                                31);
+
+std::string replaced(std::string text, const std::string& what, const std::string& with)
+{
+    const std::size_t at = text.find(what);
+    BOOST_REQUIRE(at != std::string::npos);
+    return text.replace(at, what.size(), with);
+}
+
+/** Notes what operators order. */
+class recorded_orders : public operator_orders
+{
+public:
+    void replace(const traffic_configuration& configuration, order_handler done) override
+    {
+        replaced.push_back(configuration);
+        done(next);
+    }
+
+    void read(order_handler done) override
+    {
+        done(next);
+    }
+
+    void mark(const std::string& domain, bool out, order_handler done) override
+    {
+        marks.emplace_back(domain, out);
+        done(next);
+    }
+
+    order_outcome next;
+    std::vector<traffic_configuration> replaced;
+    std::vector<std::pair<std::string, bool>> marks;
+};
+
+/** Notes what backend servers announce. */
+class recorded_desk : public announcement_desk
+{
+public:
+    void announce(const server_announcement& announcement, std::function<void()> done) override
+    {
+        announced.push_back(announcement);
+        done();
+    }
+
+    void depart(const std::string& id, std::function<void()> done) override
+    {
+        departed.push_back(id);
+        done();
+    }
+
+    std::vector<server_announcement> announced;
+    std::vector<std::string> departed;
+};
+
+http_reply order(recorded_orders& orders, const http_request& request)
+{
+    http_reply answered;
+    http_calls().handle_order(orders, request,
+                              [&answered](const http_reply& reply) { answered = reply; });
+    return answered;
+}
+
+http_reply announce(recorded_desk& desk, const http_request& request)
+{
+    http_reply answered;
+    http_calls().handle_announcement(desk, request,
+                                     [&answered](const http_reply& reply) { answered = reply; });
+    return answered;
+}
+
+std::string mutated(const std::string& text, std::mt19937_64& random)
+{
+    std::string changed = text;
+    for (std::uint64_t i = 0; i <= random() % 4 && !changed.empty(); ++i)
+    {
+        const std::size_t at = random() % changed.size();
+        switch (random() % 4)
+        {
+        case 0:
+            changed[at] = static_cast<char>(random());
+            break;
+        case 1:
+            changed.erase(at, 1 + random() % 8);
+            break;
+        case 2:
+            changed.insert(at, 1, "{}[]\",:0-9e."[random() % 12]);
+            break;
+        default:
+            changed.resize(at);
+            break;
+        }
+    }
+    return changed;
+}
+
+constexpr int fuzz_rounds = 20000;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_formats)
+
+BOOST_AUTO_TEST_CASE(an_opening_packet_is_read_and_a_reset_is_written_byte_by_byte)
+{
+    const wire_packets packets;
+    packet_head head;
+    BOOST_REQUIRE(packets.decode(opening_bytes, head));
+    BOOST_TEST(to_string(head.source) == "100.64.0.7:40001");
+    BOOST_TEST(to_string(head.destination) == "198.18.0.1:443");
+    BOOST_TEST(head.is_opening);
+    BOOST_TEST(!head.is_returned);
+    std::uint8_t buffer[packet_format::max_reset_bytes];
+    const std::size_t size = packets.encode_reset({head.source, head.destination}, 0, buffer);
+    const std::string expected("\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x02"
+                               "\x07\x00\x40\x64\x01\x00\x12\xc6\x41\x9c\xbb\x01\x00\x00\x00\x00",
+                               31);
+    BOOST_TEST(std::string(reinterpret_cast<const char*>(buffer), size) == expected);
+}
+
+BOOST_AUTO_TEST_CASE(a_mark_changes_only_what_the_sum_leaves_out)
+{
+    const wire_packets packets;
+    std::string bytes = opening_bytes;
+    bytes[14] = static_cast<char>(0x40 | 0x80);
+    packets.set_mark(bytes.data(), 0x01020304);
+    packet_head head;
+    BOOST_REQUIRE(packets.decode(bytes, head));
+    BOOST_TEST(head.mark == 0x01020304U);
+    BOOST_TEST(!head.is_returned);
+    packets.set_mark(bytes.data(), 0);
+    BOOST_TEST(bytes == opening_bytes);
+}
+
+BOOST_AUTO_TEST_CASE(a_server_s_answer_to_an_opening_opens_nothing)
+{
+    std::string bytes = opening_bytes;
+    bytes[14] = 0x44;
+    packet_head head;
+    BOOST_REQUIRE(wire_packets().decode(bytes, head));
+    BOOST_TEST(!head.is_opening);
+}
+
+BOOST_AUTO_TEST_CASE(short_long_and_mislabelled_packets_are_refused)
+{
+    packet_head head;
+    const wire_packets packets;
+    BOOST_TEST(!packets.decode("", head));
+    BOOST_TEST(!packets.decode(opening_bytes.substr(0, 30), head));
+    BOOST_TEST(!packets.decode(opening_bytes + "x", head));
+    BOOST_TEST(!packets.decode(opening_bytes + std::string(1201, 'x'), head));
+    std::mt19937_64 random(1);
+    for (int i = 0; i < fuzz_rounds; ++i)
+    {
+        std::string bytes(random() % 64, '\0');
+        for (char& byte : bytes)
+        {
+            byte = static_cast<char>(random());
+        }
+        if (packets.decode(bytes, head))
+        {
+            BOOST_TEST(head.data_bytes + 31U == bytes.size());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_read_whole_and_kept_as_it_was_sent)
+{
+    traffic_configuration decoded;
+    BOOST_TEST(decode_configuration(good_configuration, decoded).empty());
+    BOOST_TEST(decoded.version == 7U);
+    BOOST_REQUIRE(decoded.routes.size() == 2U);
+    BOOST_TEST(to_string(decoded.routes[0].address) == "198.18.0.1:8443");
+    BOOST_TEST(decoded.routes[0].shares.size() == 2U);
+    BOOST_TEST(decoded.routes[0].shares[1].weight == 10U);
+    BOOST_TEST((decoded.routes[1].requests == request_class::non_idempotent));
+    BOOST_TEST(decoded.routes[1].priority == 1U);
+    BOOST_TEST(decoded.services[0].cold_requests_per_s == 1.5);
+    BOOST_TEST(decoded.idle_timeout_ms == 15000U);
+    BOOST_TEST(decoded.content == good_configuration);
+}
+
+BOOST_AUTO_TEST_CASE(every_fault_of_a_configuration_is_named)
+{
+    traffic_configuration decoded;
+    const std::string broken = replaced(
+        replaced(good_configuration, R"("hostname":"198.18.0.1")", R"("hostname":"nowhere")"),
+        R"("timeout_ms":2000)", R"("timeout_ms":"soon")");
+    BOOST_TEST(decode_configuration(broken, decoded).size() == 2U);
+    recorded_orders orders;
+    BOOST_TEST(order(orders, {"POST", "/carawayshelf/Config.Replace", broken}).status == 400U);
+    BOOST_TEST(order(orders, {"POST", "/carawayshelf/Config.Replace", "{\"version\":"}).status ==
+               400U);
+    BOOST_TEST(orders.replaced.empty());
+}
+
+BOOST_AUTO_TEST_CASE(outcomes_become_the_statuses_that_callers_act_on)
+{
+    recorded_orders orders;
+    const http_request replace{"POST", "/carawayshelf/Config.Replace", good_configuration};
+    BOOST_TEST(order(orders, replace).status == 200U);
+    orders.next.error = error_kind::invalid_entry;
+    BOOST_TEST(order(orders, replace).status == 400U);
+    orders.next.error = error_kind::version_conflict;
+    BOOST_TEST(order(orders, replace).status == 409U);
+    orders.next.error = error_kind::no_leader;
+    BOOST_TEST(order(orders, replace).status == 503U);
+    orders.next.error = error_kind::not_confirmed;
+    BOOST_TEST(order(orders, {"GET", "/carawayshelf/Config.Read", ""}).status == 503U);
+    orders.next = {};
+    orders.next.content = good_configuration;
+    BOOST_TEST(order(orders, {"GET", "/carawayshelf/Config.Read", ""}).body == good_configuration);
+    BOOST_TEST(order(orders, {"GET", "/elsewhere", ""}).status == 404U);
+    BOOST_TEST(order(orders, {"POST", "/carawayshelf/Evacuate.Start/cuyo-a", ""}).status == 200U);
+    BOOST_TEST(order(orders, {"POST", "/carawayshelf/Evacuate.Finish/cuyo-a", ""}).status == 200U);
+    BOOST_REQUIRE(orders.marks.size() == 2U);
+    BOOST_TEST(orders.marks[0].second);
+    BOOST_TEST(!orders.marks[1].second);
+}
+
+BOOST_AUTO_TEST_CASE(a_heartbeat_is_read_and_one_with_a_missing_or_mistyped_field_refused)
+{
+    const std::optional<server_announcement> read = decode_heartbeat("i-1", good_heartbeat);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->service == "a");
+    BOOST_TEST(read->slots == 2U);
+    BOOST_TEST(read->sequence == 4U);
+    BOOST_TEST(read->started_at == 1700000000000U);
+    BOOST_TEST((read->cold_for == std::chrono::milliseconds(250)));
+    recorded_desk desk;
+    const std::string path = "/carawayshelf/Instances.Heartbeat/i-1";
+    for (const char* field : {"\"backend\":\"a\",", "\"capacity_slots\":2,", "\"seq\":4,"})
+    {
+        BOOST_TEST(announce(desk, {"POST", path, replaced(good_heartbeat, field, "")}).status ==
+                   400U);
+    }
+    BOOST_TEST(
+        announce(desk, {"POST", path, replaced(good_heartbeat, "\"ready\"", "\"new\"")}).status ==
+        400U);
+    BOOST_TEST(announce(desk, {"POST", path, "\xff\xfe"}).status == 400U);
+    BOOST_TEST(desk.announced.empty());
+    BOOST_TEST(announce(desk, {"POST", path, good_heartbeat}).status == 200U);
+    BOOST_TEST(announce(desk, {"POST", "/carawayshelf/Instances.Deregister/i-1", ""}).status ==
+               200U);
+    BOOST_TEST(announce(desk, {"GET", path, ""}).status == 404U);
+    BOOST_TEST(desk.announced.size() == 1U);
+    BOOST_TEST(desk.departed.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(mutated_heartbeats_and_configurations_never_get_through_unread)
+{
+    std::mt19937_64 random(2);
+    for (int i = 0; i < fuzz_rounds; ++i)
+    {
+        traffic_configuration decoded;
+        const std::string body = mutated(good_configuration, random);
+        if (decode_configuration(body, decoded).empty())
+        {
+            BOOST_TEST(decoded.content == body);
+            for (const traffic_route& route : decoded.routes)
+            {
+                BOOST_TEST(!route.address.is_none());
+            }
+        }
+        const std::optional<server_announcement> read =
+            decode_heartbeat("i-1", mutated(good_heartbeat, random));
+        BOOST_TEST((!read || (read->slots != 0 && !read->service.empty())));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(readiness_is_told_as_a_status)
+{
+    unsigned status = 0;
+    const http_responder note = [&status](const http_reply& reply) { status = reply.status; };
+    http_calls().handle_readiness(true, {"GET", "/carawayshelf/ready", ""}, note);
+    BOOST_TEST(status == 200U);
+    http_calls().handle_readiness(false, {"GET", "/carawayshelf/ready", ""}, note);
+    BOOST_TEST(status == 503U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace carawayshelf::platform
--- /dev/null
+++ b/tests/unit/control_front_test.cpp
@@ -0,0 +1,234 @@
+/** @file
+    Control instances that find each other from seeds, with real sockets and disks: orders at any of
+    them, an instance whose disk is lost or takes no more bytes, connections that go silent, and the
+    HTTP server with bad input.
+*/
+#include "carawayshelf_io/control_server.hpp"
+#include "carawayshelf_io/http_server.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <sys/resource.h>
+
+#include <csignal>
+#include <filesystem>
+#include <functional>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+constexpr std::uint32_t first_address = 0x7F000C01;
+constexpr std::uint16_t control_port = 7433;
+
+/** Three control instances in one io_context, each with an address and a folder of its own. */
+struct cluster
+{
+    cluster()
+    {
+        std::string pattern = (std::filesystem::temp_directory_path() / "carawayshelf-XXXXXX");
+        folder = ::mkdtemp(pattern.data());
+        for (std::uint32_t i = 0; i < 3; ++i)
+        {
+            control_settings settings;
+            settings.finds_peers = true;
+            settings.is_first_start = true;
+            settings.slot = first_address + i;
+            settings.address = {first_address + i, control_port};
+            settings.data_folder = folder + "/" + std::to_string(i);
+            settings.domains = {"cuyo-a"};
+            for (std::uint32_t j = 0; j < 3; ++j)
+            {
+                settings.peers.push_back({first_address + j, control_port});
+            }
+            all_settings.push_back(settings);
+            servers.emplace_back();
+            start(i);
+        }
+    }
+
+    ~cluster()
+    {
+        servers.clear();
+        std::filesystem::remove_all(folder);
+    }
+
+    void start(std::size_t index)
+    {
+        servers[index] = std::make_unique<control_server>(io, all_settings[index]);
+        BOOST_REQUIRE(!servers[index]->start());
+    }
+
+    /** Runs until a condition holds, for some seconds at most. */
+    bool run_until(const std::function<bool()>& condition)
+    {
+        for (int i = 0; i < 1000 && !condition(); ++i)
+        {
+            io.restart();
+            io.run_for(std::chrono::milliseconds(10));
+        }
+        return condition();
+    }
+
+    order_outcome replace(std::size_t at, std::uint64_t version, const std::string& content)
+    {
+        traffic_configuration configuration;
+        configuration.version = version;
+        configuration.content = content;
+        order_outcome outcome;
+        bool is_done = false;
+        servers[at]->replace(configuration,
+                             [&](const order_outcome& given)
+                             {
+                                 outcome = given;
+                                 is_done = true;
+                             });
+        BOOST_TEST(run_until([&is_done] { return is_done; }));
+        return outcome;
+    }
+
+    /** Repeats an order until it is accepted, as operators do. */
+    bool replace_until_accepted(std::size_t at, std::uint64_t version, const std::string& content)
+    {
+        for (int i = 0; i < 200; ++i)
+        {
+            if (replace(at, version, content).error == error_kind::none)
+            {
+                return true;
+            }
+            io.restart();
+            io.run_for(std::chrono::milliseconds(20));
+        }
+        return false;
+    }
+
+    order_outcome read(std::size_t at)
+    {
+        order_outcome outcome;
+        bool is_done = false;
+        servers[at]->read(
+            [&](const order_outcome& given)
+            {
+                outcome = given;
+                is_done = true;
+            });
+        BOOST_TEST(run_until([&is_done] { return is_done; }));
+        return outcome;
+    }
+
+    boost::asio::io_context io;
+    std::string folder;
+    std::vector<control_settings> all_settings;
+    std::vector<std::unique_ptr<control_server>> servers;
+};
+
+/** Sends bytes to an HTTP server and returns what it answers until it closes or some time is over.
+ */
+std::string exchange(const std::string& bytes)
+{
+    boost::asio::io_context io;
+    const endpoint address{first_address + 9, control_port};
+    http_server server(io, [](const http_request& request, const http_responder& respond)
+                       { respond({200, "text/plain", request.method + " " + request.body}); });
+    BOOST_REQUIRE(!server.start(address));
+    boost::asio::ip::tcp::socket peer(io);
+    peer.connect(to_asio(address));
+    boost::asio::write(peer, boost::asio::buffer(bytes));
+    std::string answer(65536, '\0');
+    std::size_t size = 0;
+    peer.async_read_some(boost::asio::buffer(answer),
+                         [&](const boost::system::error_code& /*error*/, std::size_t received)
+                         {
+                             size = received;
+                             io.stop();
+                         });
+    io.run_for(std::chrono::seconds(5));
+    answer.resize(size);
+    return answer;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(control_front)
+
+BOOST_AUTO_TEST_CASE(instances_start_together_and_take_orders_at_any_of_them)
+{
+    cluster all;
+    BOOST_TEST(all.replace_until_accepted(0, 1, "one"));
+    BOOST_TEST(all.replace_until_accepted(1, 2, "two"));
+    BOOST_TEST(all.replace_until_accepted(2, 3, "three"));
+    BOOST_TEST(all.read(0).content == "three");
+    BOOST_TEST((all.replace(1, 3, "other").error == error_kind::version_conflict));
+    bool is_refused = false;
+    all.servers[0]->mark("nowhere", true, [&is_refused](const order_outcome& outcome)
+                         { is_refused = outcome.error == error_kind::unknown_domain; });
+    BOOST_TEST(is_refused);
+}
+
+BOOST_AUTO_TEST_CASE(an_instance_whose_disk_was_lost_joins_again_and_then_another_may_be_lost)
+{
+    cluster all;
+    BOOST_TEST(all.replace_until_accepted(0, 1, "one"));
+    for (const std::size_t lost : {std::size_t{0}, std::size_t{1}})
+    {
+        all.servers[lost].reset();
+        std::filesystem::remove_all(all.all_settings[lost].data_folder);
+        all.all_settings[lost].is_first_start = false;
+        all.start(lost);
+        BOOST_TEST(all.replace_until_accepted(2, 2 + lost, "after " + std::to_string(lost)));
+        // The new identity learns, votes, and takes the place of the old one.
+        all.io.restart();
+        all.io.run_for(std::chrono::seconds(2));
+    }
+    BOOST_TEST(all.read(0).content == "after 1");
+}
+
+BOOST_AUTO_TEST_CASE(a_disk_that_takes_no_more_bytes_refuses_for_a_while_and_ends_nothing)
+{
+    cluster all;
+    BOOST_TEST(all.replace_until_accepted(0, 1, "one"));
+    std::signal(SIGXFSZ, SIG_IGN);
+    rlimit before{};
+    BOOST_REQUIRE(::getrlimit(RLIMIT_FSIZE, &before) == 0);
+    rlimit full = before;
+    full.rlim_cur = 1;
+    BOOST_REQUIRE(::setrlimit(RLIMIT_FSIZE, &full) == 0);
+    BOOST_TEST((all.replace(0, 2, "two").error != error_kind::none));
+    BOOST_REQUIRE(::setrlimit(RLIMIT_FSIZE, &before) == 0);
+    BOOST_TEST(all.replace_until_accepted(0, 3, "three"));
+    BOOST_TEST(all.read(1).content == "three");
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_cluster_holds_what_it_accepted)
+{
+    cluster all;
+    BOOST_TEST(all.replace_until_accepted(0, 5, "five"));
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        all.servers[i].reset();
+        all.all_settings[i].is_first_start = false;
+    }
+    for (std::size_t i = 0; i < 3; ++i)
+    {
+        all.start(i);
+    }
+    BOOST_TEST(all.run_until([&all] { return all.read(1).content == "five"; }));
+}
+
+BOOST_AUTO_TEST_CASE(http_requests_are_answered_and_bad_ones_refused)
+{
+    BOOST_TEST(exchange("POST /x HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc").find("POST abc") !=
+               std::string::npos);
+    BOOST_TEST(exchange("nonsense\r\n\r\n").find("400") != std::string::npos);
+    BOOST_TEST(exchange("POST /x HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n").find("413") !=
+               std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace carawayshelf
--- a/tests/unit/control_history_test.cpp
+++ b/tests/unit/control_history_test.cpp
@@ -55,7 +55,8 @@
 std::string check_seed(std::uint64_t seed, broken_control_rules broken, std::uint64_t& accepted,
                        control_membership membership = control_membership::listed)
 {
-    const std::vector<control_step> steps = any_history(membership)(rc::Random(seed), history_size).value();
+    const std::vector<control_step> steps =
+        any_history(membership)(rc::Random(seed), history_size).value();
     control_world world(seed, seed % 2 == 0 ? 3 : 5, broken, membership);
     world.run(steps);
     accepted += world.accepted();
@@ -68,7 +69,8 @@
     std::uint64_t accepted = 0;
     for (std::uint64_t seed = 1; seed <= histories_to_run(); ++seed)
     {
-        const std::string violation = check_seed(seed, broken_control_rules{}, accepted, membership);
+        const std::string violation =
+            check_seed(seed, broken_control_rules{}, accepted, membership);
         if (!violation.empty())
         {
             ++broken_seeds;
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -29,11 +29,19 @@
 {
     agent_bench()
     {
-        port.on_envelope = [this](const endpoint& to, const packet_envelope& envelope,
-                                  const std::string& packet)
-        { envelopes.push_back({to, envelope, packet}); };
-        port.on_client_packet = [this](const std::string& packet) { to_client.push_back(packet); };
-        port.on_server_packet = [this](const std::string& packet) { to_server.push_back(packet); };
+        port.on_envelope =
+            [this](const endpoint& to, const packet_envelope& envelope, const std::string& packet)
+        {
+            envelopes.push_back({to, envelope, packet});
+        };
+        port.on_client_packet = [this](const std::string& packet)
+        {
+            to_client.push_back(packet);
+        };
+        port.on_server_packet = [this](const std::string& packet)
+        {
+            to_server.push_back(packet);
+        };
         packet_agent::options own;
         own.data = own_data;
         own.domain = "cuyo-a";
@@ -442,8 +450,8 @@
 {
     opening_queue queue;
     const time_point start(std::chrono::seconds(1));
-    const auto add = [&queue, start](std::uint16_t port_number, std::uint32_t priority,
-                                     duration late_after)
+    const auto add =
+        [&queue, start](std::uint16_t port_number, std::uint32_t priority, duration late_after)
     {
         waiting_opening opening;
         opening.flow = {{client.address, port_number}, address};
--- a/tests/unit/packet_history_test.cpp
+++ b/tests/unit/packet_history_test.cpp
@@ -25,19 +25,28 @@
     return text == nullptr ? default_histories : std::strtoull(text, nullptr, 10);
 }
 
-/** @param with_route_changes  a route that is dropped may end its flows, so most histories keep it */
+/** @param with_route_changes  a route that is dropped may end its flows, so most histories keep it
+ */
 rc::Gen<std::vector<packet_step>> any_history(bool with_route_changes)
 {
     const std::size_t route_weight = with_route_changes ? 2 : 0;
     const rc::Gen<packet_step_kind> kinds = rc::gen::weightedElement<packet_step_kind>({
-        {30, packet_step_kind::open_flow},     {24, packet_step_kind::send_request},
-        {36, packet_step_kind::advance},       {4, packet_step_kind::join},
-        {3, packet_step_kind::drain},          {4, packet_step_kind::leave},
-        {3, packet_step_kind::restart_agent},  {3, packet_step_kind::restart_balancer},
-        {2, packet_step_kind::add_balancer},   {3, packet_step_kind::cut_agent},
-        {2, packet_step_kind::cut_balancer},   {1, packet_step_kind::reuse_address},
-        {3, packet_step_kind::change_split},   {2, packet_step_kind::domain_out},
-        {3, packet_step_kind::domain_in},      {route_weight, packet_step_kind::drop_route},
+        {30, packet_step_kind::open_flow},
+        {24, packet_step_kind::send_request},
+        {36, packet_step_kind::advance},
+        {4, packet_step_kind::join},
+        {3, packet_step_kind::drain},
+        {4, packet_step_kind::leave},
+        {3, packet_step_kind::restart_agent},
+        {3, packet_step_kind::restart_balancer},
+        {2, packet_step_kind::add_balancer},
+        {3, packet_step_kind::cut_agent},
+        {2, packet_step_kind::cut_balancer},
+        {1, packet_step_kind::reuse_address},
+        {3, packet_step_kind::change_split},
+        {2, packet_step_kind::domain_out},
+        {3, packet_step_kind::domain_in},
+        {route_weight, packet_step_kind::drop_route},
         {route_weight, packet_step_kind::bring_route},
     });
     const rc::Gen<packet_step> steps = rc::gen::apply(
