Openings aren't dropped for a newer table on the way; placing by expected time; histories fixed

What both the newer and the own table allow is allowed, so the drop guarded nothing. Requests that were forwarded to a leader fail as soon as the leader changes, so operators ask again.

The real server forgets a slot when its connection closes; the world does so now.

--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -755,6 +755,12 @@
     {
         return;
     }
+    if (core_->leader() != last_leader_)
+    {
+        last_leader_ = core_->leader();
+        fail_forwarded([](const pending_request& /*request*/) { return true; },
+                       "the leader changed before it answered");
+    }
     const bool is_leader = core_->role() == consensus_role::leader;
     if (is_leader && !was_leader_)
     {
--- a/modules/carawayshelf_io/control_server.hpp
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -186,6 +186,7 @@
     std::map<std::uint64_t, pending_request> forwarded_;
     std::uint64_t last_forwarded_ = 0;
     bool was_leader_ = false;
+    instance_id last_leader_ = 0;
     bool is_pump_scheduled_ = false;
     bool is_update_due_ = false;
     std::map<std::pair<generation, std::string>, std::shared_ptr<const std::string>> encoded_;
--- a/modules/carawayshelf_packets/load_board.cpp
+++ b/modules/carawayshelf_packets/load_board.cpp
@@ -1,14 +1,14 @@
 #include "carawayshelf_packets/load_board.hpp"
 
+#include <algorithm>
 #include <iterator>
 
 namespace carawayshelf
 {
 
-void load_board::take_report(time_point now, const endpoint& agent, double load, bool is_closed,
-                             bool is_cold)
+void load_board::take_report(time_point now, const endpoint& agent, const report& told)
 {
-    entries_[agent] = {load, 0.0, is_closed, is_cold, now};
+    entries_[agent] = {told, 0.0, now};
 }
 
 void load_board::note_placed(const endpoint& agent)
@@ -28,8 +28,15 @@
         return {};
     }
     const entry& known = found->second;
-    return {known.load + known.placed, known.is_closed, known.is_cold,
-            now - known.reported > suspect_after};
+    const double slots = std::max<std::uint32_t>(known.told.slots, 1);
+    const double rounds = 1.0 + (known.told.load + known.placed) / slots;
+    load_estimate estimate;
+    estimate.expected = duration(
+        static_cast<std::int64_t>(rounds * static_cast<double>(known.told.service_time.count())));
+    estimate.is_closed = known.told.is_closed;
+    estimate.is_cold = known.told.is_cold;
+    estimate.is_suspect = now - known.reported > suspect_after;
+    return estimate;
 }
 
 void load_board::expire(time_point now)
--- a/modules/carawayshelf_packets/load_board.hpp
+++ b/modules/carawayshelf_packets/load_board.hpp
@@ -3,6 +3,7 @@
 #include "carawayshelf_core/clock_time.hpp"
 #include "carawayshelf_core/endpoint.hpp"
 
+#include <cstdint>
 #include <unordered_map>
 
 namespace carawayshelf
@@ -11,7 +12,9 @@
 /** What a balancer knows of an agent's load. */
 struct load_estimate
 {
-    double load = 0.0; ///< Requests under way, as reported, and those sent there since.
+    /** What a new request would take, waiting included: by the requests under way, as reported, and
+        those sent there since. */
+    duration expected{0};
     bool is_closed = false;
     bool is_cold = false;
     bool is_suspect = false; ///< Its reports have stopped.
@@ -24,8 +27,17 @@
     /** Without a report for this long an agent is suspect: three reports in a row are missing. */
     static constexpr duration suspect_after = std::chrono::milliseconds(350);
 
-    void take_report(time_point now, const endpoint& agent, double load, bool is_closed,
-                     bool is_cold);
+    /** What an agent reports of itself. */
+    struct report
+    {
+        double load = 0.0;
+        duration service_time{0}; ///< Of a request that finds a free slot.
+        std::uint32_t slots = 1;
+        bool is_closed = false;
+        bool is_cold = false;
+    };
+
+    void take_report(time_point now, const endpoint& agent, const report& told);
 
     /** This balancer has sent a new flow there. */
     void note_placed(const endpoint& agent);
@@ -41,10 +53,8 @@
 
     struct entry
     {
-        double load = 0.0;
+        report told;
         double placed = 0.0;
-        bool is_closed = false;
-        bool is_cold = false;
         time_point reported;
     };
 
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -144,11 +144,6 @@
     {
         return; // A copy of one that waits.
     }
-    if (envelope.held > table_->held())
-    {
-        note_dropped(packet_drop::stale_table, envelope, packet.head);
-        return;
-    }
     decide_opening(now, envelope, route, packet);
 }
 
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -364,6 +364,8 @@
     report.held = table_->held();
     report.load =
         static_cast<std::uint16_t>(std::min<std::uint32_t>(load() * load_unit, UINT16_MAX));
+    report.service_time = service_time_;
+    report.slots = static_cast<std::uint8_t>(std::min<std::uint32_t>(server_.slots, UINT8_MAX));
     const bool takes_new = is_server_known(now) && !server_.is_draining && table_->held() != 0 &&
                            !table_->is_domain_out(own_.domain);
     report.flags = static_cast<std::uint8_t>((takes_new ? 0 : load_flag_closed) |
--- a/modules/carawayshelf_packets/packet_balancer.cpp
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -8,13 +8,13 @@
 namespace
 {
 
-/** Requests under way that a member of the own failure domain may have more than one of another
-    before the other is preferred: bytes between failure domains cost, and one way takes longer. */
-constexpr double foreign_domain_cost = 1.5;
+/** A member of another failure domain is preferred when a request would take this much less there:
+    both ways to it and back take some milliseconds, and bytes between failure domains cost. */
+constexpr duration foreign_domain_cost = std::chrono::milliseconds(10);
 
 /** Added for members that bear little or are likely not to answer; above any load. */
-constexpr double cold_cost = 100.0;
-constexpr double suspect_cost = 1000.0;
+constexpr duration cold_cost = std::chrono::seconds(10);
+constexpr duration suspect_cost = std::chrono::seconds(100);
 
 /** Candidates for a new flow: where the first can't take it, the others are asked in turn. */
 constexpr std::size_t most_placements = 4;
@@ -154,10 +154,10 @@
         ranked_member ranked;
         ranked.who = &who;
         ranked.rank = rank_holder(flow_hash, who.data);
-        ranked.cost = for_new ? estimate.load : 0.0;
-        ranked.cost += who.domain == own_.domain ? 0.0 : foreign_domain_cost;
-        ranked.cost += for_new && estimate.is_cold ? cold_cost : 0.0;
-        ranked.cost += estimate.is_suspect || who.is_silent ? suspect_cost : 0.0;
+        ranked.cost = for_new ? estimate.expected : duration(0);
+        ranked.cost += who.domain == own_.domain ? duration(0) : foreign_domain_cost;
+        ranked.cost += for_new && estimate.is_cold ? cold_cost : duration(0);
+        ranked.cost += estimate.is_suspect || who.is_silent ? suspect_cost : duration(0);
         ranked_.push_back(ranked);
     }
 }
@@ -189,9 +189,10 @@
         cache_.put(hash_flow(envelope.flow), sender, now);
         return;
     case packet_envelope_kind::load:
-        loads_.take_report(now, sender, static_cast<double>(envelope.load) / load_unit,
-                           (envelope.flags & load_flag_closed) != 0,
-                           (envelope.flags & load_flag_cold) != 0);
+        loads_.take_report(now, sender,
+                           {static_cast<double>(envelope.load) / load_unit, envelope.service_time,
+                            envelope.slots, (envelope.flags & load_flag_closed) != 0,
+                            (envelope.flags & load_flag_cold) != 0});
         return;
     case packet_envelope_kind::packet:
     case packet_envelope_kind::watching:
--- a/modules/carawayshelf_packets/packet_balancer.hpp
+++ b/modules/carawayshelf_packets/packet_balancer.hpp
@@ -47,7 +47,7 @@
     struct ranked_member
     {
         const packet_member* who = nullptr;
-        double cost = 0.0;
+        duration cost{0};
         std::uint64_t rank = 0;
     };
 
--- a/modules/carawayshelf_packets/packet_counters.hpp
+++ b/modules/carawayshelf_packets/packet_counters.hpp
@@ -15,15 +15,13 @@
     malformed,
     no_route,    ///< No route, and the own table may be too old to say so.
     no_member,   ///< The route has no member to send it to.
-    stale_table, ///< The sender held a newer table.
     lost_flow,   ///< Every known member has returned it, but the own table may be too old.
     client_gone, ///< It had left before there was room.
     send_failed
 };
 
-inline constexpr name_table<packet_drop, 7> packet_drop_names{{"malformed", "no_route", "no_member",
-                                                               "stale_table", "lost_flow",
-                                                               "client_gone", "send_failed"}};
+inline constexpr name_table<packet_drop, 6> packet_drop_names{
+    {"malformed", "no_route", "no_member", "lost_flow", "client_gone", "send_failed"}};
 
 /** Why a flow was reset. */
 enum class packet_reset
--- a/modules/carawayshelf_wire/packet_envelope.cpp
+++ b/modules/carawayshelf_wire/packet_envelope.cpp
@@ -11,7 +11,8 @@
 namespace
 {
 
-constexpr std::uint32_t packet_envelope_magic = 0x43525031;
+constexpr std::uint32_t packet_envelope_magic = 0x43525032;
+constexpr duration service_time_unit = std::chrono::microseconds(100);
 
 static_assert(sizeof(buffers::packet_envelope_header) +
                       max_candidates * sizeof(buffers::packet_candidate) <=
@@ -41,8 +42,11 @@
     const buffers::packet_envelope_header header(
         value.held, packet_envelope_magic, value.balancer.address, value.flow.client.address,
         value.flow.service.address, value.balancer.port, value.flow.client.port,
-        value.flow.service.port, value.load, static_cast<std::uint8_t>(value.kind), value.position,
-        value.candidate_count, value.flags);
+        value.flow.service.port, value.load,
+        static_cast<std::uint16_t>(
+            std::min<std::int64_t>(value.service_time / service_time_unit, UINT16_MAX)),
+        static_cast<std::uint8_t>(value.kind), value.position, value.candidate_count, value.flags,
+        value.slots);
     std::memcpy(buffer, &header, sizeof(header));
     std::uint8_t* end = buffer + sizeof(header);
     for (std::size_t i = 0; i < value.candidate_count; ++i)
@@ -77,6 +81,8 @@
     value.flow.client = {header.client_address(), header.client_port()};
     value.flow.service = {header.service_address(), header.service_port()};
     value.load = header.load();
+    value.service_time = service_time_unit * header.service_time_100us();
+    value.slots = header.slots();
     value.flags = header.flags();
     value.position = header.position();
     value.candidate_count = header.candidate_count();
--- a/modules/carawayshelf_wire/packet_envelope.hpp
+++ b/modules/carawayshelf_wire/packet_envelope.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carawayshelf_core/clock_time.hpp"
 #include "carawayshelf_core/identifiers.hpp"
 #include "carawayshelf_core/name_table.hpp"
 #include "carawayshelf_steering/packet_flow.hpp"
@@ -46,6 +47,8 @@
     endpoint balancer;   ///< The balancer that took the packet, or that is told something.
     packet_flow flow;    ///< For holder.
     std::uint16_t load = 0;
+    duration service_time{0}; ///< In a load report: of a request that finds a free slot.
+    std::uint8_t slots = 0;   ///< In a load report: requests that are served at once.
     std::uint8_t flags = 0;
     std::uint8_t position = 0; ///< Candidates before this one have returned the packet.
     std::uint8_t candidate_count = 0;
--- a/tests/fakes/control_world.cpp
+++ b/tests/fakes/control_world.cpp
@@ -202,6 +202,14 @@
     crash(item);
     if (at_another_address)
     {
+        // Its connections are gone, as those of a lost disk are replaced by the new identity's.
+        for (instance& other : instances_)
+        {
+            if (other.renewal)
+            {
+                other.renewal->forget(item.slot);
+            }
+        }
         item.slot = ++last_slot_;
     }
     item.disk = std::make_unique<memory_log_store>(
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -304,7 +304,10 @@
 BOOST_AUTO_TEST_CASE(readiness_is_told_as_a_status)
 {
     unsigned status = 0;
-    const http_responder note = [&status](const http_reply& reply) { status = reply.status; };
+    const http_responder note = [&status](const http_reply& reply)
+    {
+        status = reply.status;
+    };
     http_calls().handle_readiness(true, {"GET", "/carawayshelf/ready", ""}, note);
     BOOST_TEST(status == 200U);
     http_calls().handle_readiness(false, {"GET", "/carawayshelf/ready", ""}, note);
--- a/tests/unit/control_front_test.cpp
+++ b/tests/unit/control_front_test.cpp
@@ -133,8 +133,10 @@
 {
     boost::asio::io_context io;
     const endpoint address{first_address + 9, control_port};
-    http_server server(io, [](const http_request& request, const http_responder& respond)
-                       { respond({200, "text/plain", request.method + " " + request.body}); });
+    http_server server(io,
+                       [](const http_request& request, const http_responder& respond) {
+                           respond({200, "text/plain", request.method + " " + request.body});
+                       });
     BOOST_REQUIRE(!server.start(address));
     boost::asio::ip::tcp::socket peer(io);
     peer.connect(to_asio(address));
@@ -165,7 +167,8 @@
     BOOST_TEST(all.read(0).content == "three");
     BOOST_TEST((all.replace(1, 3, "other").error == error_kind::version_conflict));
     bool is_refused = false;
-    all.servers[0]->mark("nowhere", true, [&is_refused](const order_outcome& outcome)
+    all.servers[0]->mark("nowhere", true,
+                         [&is_refused](const order_outcome& outcome)
                          { is_refused = outcome.error == error_kind::unknown_domain; });
     BOOST_TEST(is_refused);
 }
--- a/tests/unit/packet_history_test.cpp
+++ b/tests/unit/packet_history_test.cpp
@@ -25,18 +25,25 @@
     return text == nullptr ? default_histories : std::strtoull(text, nullptr, 10);
 }
 
-/** @param with_route_changes  a route that is dropped may end its flows, so most histories keep it
- */
-rc::Gen<std::vector<packet_step>> any_history(bool with_route_changes)
+/** What a history is full of. */
+enum class history_profile
 {
-    const std::size_t route_weight = with_route_changes ? 2 : 0;
+    steady,
+    route_changes, ///< A route that is dropped may end its flows, so most histories keep it.
+    departures
+};
+
+rc::Gen<std::vector<packet_step>> any_history(history_profile profile)
+{
+    const std::size_t route_weight = profile == history_profile::route_changes ? 2 : 0;
+    const std::size_t departures = profile == history_profile::departures ? 4 : 1;
     const rc::Gen<packet_step_kind> kinds = rc::gen::weightedElement<packet_step_kind>({
         {30, packet_step_kind::open_flow},
         {24, packet_step_kind::send_request},
         {36, packet_step_kind::advance},
-        {4, packet_step_kind::join},
-        {3, packet_step_kind::drain},
-        {4, packet_step_kind::leave},
+        {4 * departures, packet_step_kind::join},
+        {3 * departures, packet_step_kind::drain},
+        {4 * departures, packet_step_kind::leave},
         {3, packet_step_kind::restart_agent},
         {3, packet_step_kind::restart_balancer},
         {2, packet_step_kind::add_balancer},
@@ -59,9 +66,9 @@
 
 std::string check_seed(std::uint64_t seed, broken_packet_rules broken, std::uint64_t& answered)
 {
-    const bool with_route_changes = seed % 5 == 0;
+    const history_profile profile = static_cast<history_profile>(seed % 3);
     const std::vector<packet_step> steps =
-        any_history(with_route_changes)(rc::Random(seed), history_size).value();
+        any_history(profile)(rc::Random(seed), history_size).value();
     packet_world world(seed, broken);
     world.run(steps);
     answered += world.answered();
--- a/tests/unit/traffic_configuration_test.cpp
+++ b/tests/unit/traffic_configuration_test.cpp
@@ -120,8 +120,8 @@
     next.routes[0].shares = {{"ordering", 1}};
     replace(next);
     const endpoint address = next.routes[0].address;
-    BOOST_TEST((state.data().earlier.at(address) ==
-                std::vector<std::string>{"ordering", "catalogue"}));
+    BOOST_TEST(
+        (state.data().earlier.at(address) == std::vector<std::string>{"ordering", "catalogue"}));
     traffic_configuration without = make(3);
     without.routes.clear();
     replace(without);
