--- a/modules/carawayshelf_consensus/consensus_core.hpp
+++ b/modules/carawayshelf_consensus/consensus_core.hpp
@@ -20,7 +20,7 @@
     duration election_timeout = std::chrono::milliseconds(300); ///< Up to twice this, at random.
     /** The same right after a start: a leader that is there is not deposed, since those who hear it
         refuse their pre-vote. */
-    duration first_election_timeout = std::chrono::milliseconds(60);
+    duration first_election_timeout = std::chrono::milliseconds(30);
     duration start_phase = std::chrono::seconds(1);        ///< How long that holds after a start.
     std::size_t most_records = 1024;                       ///< Records in one append.
     std::size_t most_bytes = std::size_t{4} * 1024 * 1024; ///< Payload bytes in one append.
--- a/modules/carawayshelf_consensus/replicated_log.cpp
+++ b/modules/carawayshelf_consensus/replicated_log.cpp
@@ -10,6 +10,10 @@
     : base_(std::move(base)),
       records_(std::make_move_iterator(records.begin()), std::make_move_iterator(records.end()))
 {
+    for (const log_record& record : records_)
+    {
+        payload_bytes_ += record.payload.size();
+    }
     find_voters();
 }
 
@@ -60,14 +64,27 @@
         voters_ = record.voters;
         voters_index_ = record.index;
     }
+    payload_bytes_ += record.payload.size();
     records_.push_back(std::move(record));
 }
 
+void replicated_log::drop_front()
+{
+    payload_bytes_ -= records_.front().payload.size();
+    records_.pop_front();
+}
+
+void replicated_log::drop_back()
+{
+    payload_bytes_ -= records_.back().payload.size();
+    records_.pop_back();
+}
+
 void replicated_log::truncate_after(log_index last_kept)
 {
     while (last_index() > last_kept && !records_.empty())
     {
-        records_.pop_back();
+        drop_back();
     }
     find_voters();
 }
@@ -80,7 +97,7 @@
     }
     while (!records_.empty() && records_.front().index <= taken.index)
     {
-        records_.pop_front();
+        drop_front();
     }
     base_ = taken;
     find_voters();
@@ -89,6 +106,7 @@
 void replicated_log::reset(const snapshot& taken)
 {
     records_.clear();
+    payload_bytes_ = 0;
     base_ = taken;
     find_voters();
 }
--- a/modules/carawayshelf_consensus/replicated_log.hpp
+++ b/modules/carawayshelf_consensus/replicated_log.hpp
@@ -60,6 +60,12 @@
         return voters_;
     }
 
+    /** Payload bytes of the records held. */
+    std::size_t payload_bytes() const
+    {
+        return payload_bytes_;
+    }
+
     /** Index of the newest membership record. */
     log_index voters_index() const
     {
@@ -67,12 +73,15 @@
     }
 
 private:
+    void drop_front();
+    void drop_back();
     void find_voters();
 
     snapshot base_;
     std::deque<log_record> records_;
     std::vector<instance_id> voters_;
     log_index voters_index_ = 0;
+    std::size_t payload_bytes_ = 0;
 };
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_io/control_daemon.cpp
+++ b/modules/carawayshelf_io/control_daemon.cpp
@@ -9,6 +9,8 @@
 
 failure run_control(const control_settings& settings, const platform_binding& platform)
 {
+    log_info("starts as control instance " + std::to_string(settings.slot) + ", data folder " +
+             settings.data_folder);
     boost::asio::io_context io;
     daemon_signals signals(io,
                            [&io]
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -133,6 +133,9 @@
                                 std::to_string(slot_of(stored.identity)) +
                                 ": correct the slot or the data_folder");
     }
+    log_info("loaded a snapshot at " + std::to_string(stored.base.index) + " and " +
+             std::to_string(stored.records.size()) + " records, term " +
+             std::to_string(stored.hard.term));
     state_ = std::move(loaded);
     renewal_.hear(settings_.slot, stored.identity);
     core_ = std::make_unique<consensus_core>(consensus_settings{}, stored, random_seed(), now());
@@ -876,8 +879,11 @@
 void control_server::take_snapshot_if_due()
 {
     const log_index applied = core_->commit_index();
-    const bool is_voter_change_open = core_->log().voters_index() > applied;
-    if (is_voter_change_open || applied < core_->log().base().index + settings_.snapshot_every)
+    const replicated_log& log = core_->log();
+    const bool is_voter_change_open = log.voters_index() > applied;
+    const bool is_due = applied >= log.base().index + settings_.snapshot_every ||
+                        log.payload_bytes() >= settings_.snapshot_bytes;
+    if (is_voter_change_open || !is_due || applied == log.base().index)
     {
         return;
     }
--- a/modules/carawayshelf_io/settings.cpp
+++ b/modules/carawayshelf_io/settings.cpp
@@ -311,6 +311,8 @@
     loaded.lease_ms = reader.read_number("control", "lease_ms", loaded.lease_ms, 500, 60000);
     loaded.snapshot_every =
         reader.read_number("control", "snapshot_every", loaded.snapshot_every, 10, 1000000);
+    loaded.snapshot_bytes = reader.read_number("control", "snapshot_bytes", loaded.snapshot_bytes,
+                                               1U << 16U, 1U << 30U);
     loaded.metrics = reader.read_endpoint("metrics", "address", false);
     if (!loaded.finds_peers && (loaded.slot < 1 || loaded.slot > loaded.peers.size()))
     {
--- a/modules/carawayshelf_io/settings.hpp
+++ b/modules/carawayshelf_io/settings.hpp
@@ -65,6 +65,9 @@
     std::vector<std::string> domains; ///< Failure domains that operators may name.
     std::uint32_t lease_ms = 3000;
     std::uint32_t snapshot_every = 5000; ///< Records between two snapshots.
+    /** Bytes of records that bring a snapshot forward: a few large configurations, so that
+        they are read back quickly after a start. */
+    std::uint32_t snapshot_bytes = 1U << 20U;
 };
 
 /** Each reads a settings file as a whole. Every fault is one line: section, key, the value seen,
--- a/tests/unit/control_front_test.cpp
+++ b/tests/unit/control_front_test.cpp
@@ -207,6 +207,19 @@
     BOOST_TEST(all.read(1).content == "three");
 }
 
+BOOST_AUTO_TEST_CASE(large_configurations_neither_fill_the_disk_nor_the_memory)
+{
+    cluster all;
+    const std::string content(std::size_t{1} << 20U, 'x');
+    for (std::uint64_t version = 1; version <= 20; ++version)
+    {
+        BOOST_REQUIRE(all.replace_until_accepted(0, version, content));
+    }
+    BOOST_TEST(std::filesystem::file_size(all.all_settings[0].data_folder + "/log") < std::size_t{8}
+                                                                                          << 20U);
+    BOOST_TEST(all.read(2).content == content);
+}
+
 BOOST_AUTO_TEST_CASE(a_restarted_cluster_holds_what_it_accepted)
 {
     cluster all;
