--- a/modules/carawayshelf_io/carawayshelf_io.hpp
+++ b/modules/carawayshelf_io/carawayshelf_io.hpp
@@ -3,7 +3,7 @@
 
     Purpose: settings, logs, metrics, sockets, files and timers around the cores, and the roles
     balancer, agent and control and the operator commands made of them.
-    Dependencies: all other modules, Boost.Asio, Boost.PropertyTree, oneTBB, gflags, log4cxx,
+    Dependencies: all other modules, Boost.Asio, Boost.PropertyTree, oneTBB, gflags, spdlog,
     prometheus-cpp.
 */
 #pragma once
--- a/modules/carawayshelf_io/json_log.cpp
+++ b/modules/carawayshelf_io/json_log.cpp
@@ -1,10 +1,8 @@
 #include "carawayshelf_io/json_log.hpp"
 
-#include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
-#include <log4cxx/jsonlayout.h>
-#include <log4cxx/logger.h>
-#include <log4cxx/logmanager.h>
+#include <nlohmann/json.hpp>
+#include <spdlog/logger.h>
+#include <spdlog/sinks/stdout_sinks.h>
 
 #include <memory>
 
@@ -14,40 +12,49 @@
 namespace
 {
 
-log4cxx::LoggerPtr& shared_logger()
+std::shared_ptr<spdlog::logger>& shared_logger()
 {
-    static log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("carawayshelf");
+    static std::shared_ptr<spdlog::logger> logger;
     return logger;
 }
 
+void write(spdlog::level::level_enum level, const std::string& text)
+{
+    if (const std::shared_ptr<spdlog::logger>& logger = shared_logger())
+    {
+        // The pattern can't escape, so the message comes as a JSON string.
+        logger->log(level, nlohmann::json(text).dump(-1, ' ', false,
+                                                     nlohmann::json::error_handler_t::replace));
+    }
+}
+
 } // namespace
 
 void start_json_log(const std::string& role, const std::string& instance)
 {
-    const log4cxx::LayoutPtr layout = std::make_shared<log4cxx::JSONLayout>();
-    const std::shared_ptr<log4cxx::ConsoleAppender> appender =
-        std::make_shared<log4cxx::ConsoleAppender>(layout);
-    appender->setTarget(LOG4CXX_STR("System.err"));
-    log4cxx::helpers::Pool pool;
-    appender->activateOptions(pool);
-    log4cxx::LogManager::getLoggerRepository()->setConfigured(true);
-    log4cxx::Logger::getRootLogger()->addAppender(appender);
-    shared_logger() = log4cxx::Logger::getLogger("carawayshelf." + role + "." + instance);
+    const std::shared_ptr<spdlog::sinks::stdout_sink_mt> sink =
+        std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    const std::shared_ptr<spdlog::logger> logger =
+        std::make_shared<spdlog::logger>("carawayshelf." + role + "." + instance, sink);
+    logger->set_pattern(
+        R"({"timestamp":"%Y-%m-%dT%H:%M:%S.%e","level":"%l","logger":"%n","message":%v})");
+    logger->flush_on(spdlog::level::trace);
+    shared_logger() = logger;
 }
 
 void log_info(const std::string& text)
 {
-    LOG4CXX_INFO(shared_logger(), text);
+    write(spdlog::level::info, text);
 }
 
 void log_warning(const std::string& text)
 {
-    LOG4CXX_WARN(shared_logger(), text);
+    write(spdlog::level::warn, text);
 }
 
 void log_error(const std::string& text)
 {
-    LOG4CXX_ERROR(shared_logger(), text);
+    write(spdlog::level::err, text);
 }
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_io/json_log.hpp
+++ b/modules/carawayshelf_io/json_log.hpp
@@ -5,7 +5,8 @@
 namespace carawayshelf
 {
 
-/** Sends log4cxx output to standard error as JSON lines. Call once, before any thread starts. */
+/** Sends the log to standard output as JSON lines. Call once, before any thread starts; without it
+    nothing is written. */
 void start_json_log(const std::string& role, const std::string& instance);
 
 /** Each writes one line. Thread-safe. Not for traffic: use counters there. */
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -22,7 +22,7 @@
     done
 }
 
-# cluster_start NAME COMMAND...: starts a process; its output goes to NAME.log.
+# cluster_start NAME COMMAND...: starts a process; its output goes to NAME.out and NAME.log.
 cluster_start() {
     local name="$1"
     shift
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(
     g++ cmake ninja-build ccache clang-format clang-tidy
-    libtbb-dev libflatbuffers-dev prometheus-cpp-dev libgflags-dev liblog4cxx-dev
+    libtbb-dev libflatbuffers-dev prometheus-cpp-dev libgflags-dev libspdlog-dev
     libssl-dev libboost-dev libboost-test-dev libcoap3-dev libxxhash-dev nlohmann-json3-dev librapidcheck-dev libbenchmark-dev
 )
 missing=()
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -44,6 +44,42 @@
     BOOST_TEST(control.peers.size() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(samples_for_flows_of_packets_load)
+{
+    balancer_settings balancer;
+    agent_daemon_settings agent;
+    control_settings control;
+    BOOST_TEST(load_settings(samples + "packet-balancer.ini", balancer).message() == "Success");
+    BOOST_TEST(load_settings(samples + "packet-agent.ini", agent).message() == "Success");
+    BOOST_TEST(load_settings(samples + "control-seeds.ini", control).message() == "Success");
+    BOOST_TEST((balancer.protocol == flow_protocol::packets));
+    BOOST_TEST(to_string(balancer.control[1]) == "127.0.1.2:7001");
+    BOOST_TEST(agent.client_port == 8172);
+    BOOST_TEST(agent.service == "ordering");
+    BOOST_TEST(control.finds_peers);
+    BOOST_TEST(control.slot == 0x7F000101U);
+    BOOST_TEST(control.domains.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(faults_of_packet_settings_name_the_remedy)
+{
+    balancer_settings balancer;
+    const failure failed = load_text("[balancer]\n"
+                                     "flows = pigeons\n"
+                                     "name = entry-1\n"
+                                     "domain = cuyo-a\n"
+                                     "data_address = 127.0.2.1:7101\n"
+                                     "[control]\n"
+                                     "seeds = 127.0.1.1:8166\n"
+                                     "port = 0\n",
+                                     balancer);
+    for (const char* part : {"flows is 'pigeons': choose coap or packets", "port is '0'"})
+    {
+        BOOST_CHECK_MESSAGE(failed.detail.find(part) != std::string::npos,
+                            part << " in " << failed.detail);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(every_fault_is_named_at_once)
 {
     control_settings control;
