--- a/modules/carawayshelf_io/http_server.cpp
+++ b/modules/carawayshelf_io/http_server.cpp
@@ -108,7 +108,7 @@
 } // namespace
 
 http_server::http_server(boost::asio::io_context& io, http_handler handler)
-    : io_(io), acceptor_(io), handler_(std::move(handler))
+    : acceptor_(io), handler_(std::move(handler))
 {
 }
 
--- a/modules/carawayshelf_io/http_server.hpp
+++ b/modules/carawayshelf_io/http_server.hpp
@@ -56,7 +56,6 @@
 private:
     void accept_next();
 
-    boost::asio::io_context& io_;
     boost::asio::ip::tcp::acceptor acceptor_;
     http_handler handler_;
 };
--- a/tests/fakes/packet_world.cpp
+++ b/tests/fakes/packet_world.cpp
@@ -220,15 +220,15 @@
 
 void packet_world::publish_soon()
 {
-    for (std::size_t i = 0; i < balancers_.size(); ++i)
+    for (const std::unique_ptr<balancer_node>& node : balancers_)
     {
         at(delay() + std::chrono::microseconds(random(longest_news.count())),
-           [this, i] { publish_to(*balancers_[i]); });
+           [this, target = node.get()] { publish_to(*target); });
     }
-    for (std::size_t i = 0; i < agents_.size(); ++i)
+    for (const std::unique_ptr<agent_node>& node : agents_)
     {
         at(delay() + std::chrono::microseconds(random(longest_news.count())),
-           [this, i] { publish_to(*agents_[i]); });
+           [this, target = node.get()] { publish_to(*target); });
     }
 }
 
--- a/tests/fakes/packet_world.hpp
+++ b/tests/fakes/packet_world.hpp
@@ -129,7 +129,7 @@
     void route_packet(const test_packets::layout& packet);
     void deliver_envelope(const endpoint& from, const endpoint& to, const packet_envelope& envelope,
                           const std::string& packet);
-    void serve(std::size_t index, std::string packet);
+    void serve(std::size_t index, const std::string& packet);
     void serve_opening(std::size_t index, const test_packets::layout& packet);
     void check_opening(std::size_t index, const test_packets::layout& packet);
     void reply(std::size_t index, const test_packets::layout& packet);
--- a/tests/fakes/packet_world_traffic.cpp
+++ b/tests/fakes/packet_world_traffic.cpp
@@ -138,7 +138,7 @@
 }
 
 /** The backend server: answers what it holds and returns the rest. */
-void packet_world::serve(std::size_t index, std::string bytes)
+void packet_world::serve(std::size_t index, const std::string& bytes)
 {
     agent_node& node = *agents_[index];
     if (!node.server_lives)
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -118,7 +118,7 @@
         return packet;
     }
 
-    void send(const test_packets::layout& packet, std::vector<endpoint> candidates,
+    void send(const test_packets::layout& packet, const std::vector<endpoint>& candidates,
               generation held = 0, std::uint8_t flags = 0)
     {
         packet_envelope envelope;
