--- a/modules/carawayshelf_io/control_client.cpp
+++ b/modules/carawayshelf_io/control_client.cpp
@@ -33,8 +33,9 @@
 
 control_client::control_client(boost::asio::io_context& io, std::vector<endpoint> instances,
                                report_source report, update_handler on_update)
-    : io_(io), instances_(std::move(instances)), settled_(instances_), report_(std::move(report)),
-      on_update_(std::move(on_update)), retry_timer_(io), heartbeat_timer_(io)
+    : io_(io), instances_(std::move(instances)), configured_(instances_),
+      report_(std::move(report)), on_update_(std::move(on_update)), retry_timer_(io),
+      heartbeat_timer_(io)
 {
     // Daemons start at different instances, so that each instance carries its share of them.
     std::shuffle(instances_.begin(), instances_.end(), std::mt19937(std::random_device{}()));
@@ -181,7 +182,7 @@
 
 void control_client::learn_instances(const std::vector<std::uint64_t>& instances)
 {
-    std::vector<endpoint> known = settled_;
+    std::vector<endpoint> known = configured_;
     for (const std::uint64_t packed : instances)
     {
         const endpoint address{static_cast<std::uint32_t>(packed >> 16U),
--- a/modules/carawayshelf_io/control_client.hpp
+++ b/modules/carawayshelf_io/control_client.hpp
@@ -68,7 +68,7 @@
 
     boost::asio::io_context& io_;
     std::vector<endpoint> instances_;
-    std::vector<endpoint> settled_; ///< Those of the settings, which are always tried too.
+    std::vector<endpoint> configured_; ///< Those of the settings, which are always tried too.
     std::shared_ptr<boost::asio::ip::tcp::socket> connecting_; ///< An attempt under way.
     time_point heard_;                                         ///< Any answer on this connection.
     time_point confirmed_; ///< An answer of an instance in touch with a leader.
--- a/modules/carawayshelf_io/control_daemon.cpp
+++ b/modules/carawayshelf_io/control_daemon.cpp
@@ -25,7 +25,13 @@
         io, [&server, &platform](const http_request& request, const http_responder& respond)
         { platform.handle_order(server, request, respond); });
     metrics_page metrics(io);
-    if (failure failed = metrics.start(settings.metrics, [&server] { return server.samples(); }))
+    const metrics_page::source samples = [&server, &orders]
+    {
+        std::vector<metric_sample> all = server.samples();
+        add_answer_samples(all, "control_orders_answered_total", orders);
+        return all;
+    };
+    if (failure failed = metrics.start(settings.metrics, samples))
     {
         return failed;
     }
--- a/modules/carawayshelf_io/http_server.cpp
+++ b/modules/carawayshelf_io/http_server.cpp
@@ -26,8 +26,10 @@
 class http_session : public std::enable_shared_from_this<http_session>
 {
 public:
-    http_session(boost::asio::ip::tcp::socket socket, http_handler handler)
-        : stream_(std::move(socket)), handler_(std::move(handler))
+    using answer_counts = std::shared_ptr<std::map<unsigned, std::uint64_t>>;
+
+    http_session(boost::asio::ip::tcp::socket socket, http_handler handler, answer_counts answers)
+        : stream_(std::move(socket)), handler_(std::move(handler)), answers_(std::move(answers))
     {
     }
 
@@ -74,6 +76,7 @@
 
     void answer(const http_reply& reply)
     {
+        ++(*answers_)[reply.status];
         response_ = {};
         response_.version(11);
         response_.result(reply.status);
@@ -102,13 +105,15 @@
     std::optional<http::request_parser<http::string_body>> parser_;
     http::response<http::string_body> response_;
     http_handler handler_;
+    answer_counts answers_;
     bool is_last_ = false;
 };
 
 } // namespace
 
 http_server::http_server(boost::asio::io_context& io, http_handler handler)
-    : acceptor_(io), handler_(std::move(handler))
+    : acceptor_(io), handler_(std::move(handler)),
+      answers_(std::make_shared<std::map<unsigned, std::uint64_t>>())
 {
 }
 
@@ -139,7 +144,7 @@
         {
             if (!error)
             {
-                std::make_shared<http_session>(std::move(socket), handler_)->read_next();
+                std::make_shared<http_session>(std::move(socket), handler_, answers_)->read_next();
             }
             else
             {
--- a/modules/carawayshelf_io/http_server.hpp
+++ b/modules/carawayshelf_io/http_server.hpp
@@ -6,7 +6,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <map>
+#include <memory>
 #include <string>
 
 namespace carawayshelf
@@ -47,10 +50,10 @@
     /** Listens at an address. Errors: invalid_settings when it can't be bound. */
     failure start(const endpoint& address);
 
-    /** Whether a request could be handled; callers may connect all the same. */
-    const http_handler& handler() const
+    /** How many requests were answered with each status. Call on the io_context's thread. */
+    const std::map<unsigned, std::uint64_t>& answers() const
     {
-        return handler_;
+        return *answers_;
     }
 
 private:
@@ -58,6 +61,7 @@
 
     boost::asio::ip::tcp::acceptor acceptor_;
     http_handler handler_;
+    std::shared_ptr<std::map<unsigned, std::uint64_t>> answers_; ///< Shared with the connections.
 };
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_io/metrics_page.hpp
+++ b/modules/carawayshelf_io/metrics_page.hpp
@@ -35,6 +35,16 @@
     }
 }
 
+/** Appends one sample for each status that an HTTP server has answered with. */
+inline void add_answer_samples(std::vector<metric_sample>& samples, const std::string& metric,
+                               const http_server& server)
+{
+    for (const auto& [status, count] : server.answers())
+    {
+        samples.push_back({metric, std::to_string(status), static_cast<double>(count)});
+    }
+}
+
 /** The Prometheus page of a daemon, written by prometheus-cpp and served on the io_context's
  * thread.
  */
--- a/modules/carawayshelf_io/packet_agent_daemon.cpp
+++ b/modules/carawayshelf_io/packet_agent_daemon.cpp
@@ -88,6 +88,7 @@
     {
         std::vector<metric_sample> samples = packet_samples("agent", counters_);
         samples.push_back({"agent_generation", "", static_cast<double>(held_), false});
+        add_answer_samples(samples, "agent_announcements_answered_total", desk_);
         return samples;
     }
 
@@ -131,7 +132,16 @@
             });
         if (self_ != 0 && id == server_id_)
         {
-            client_.propose(retire_member{self_}, [](error_kind, const change_result&) {});
+            client_.propose(retire_member{self_},
+                            [member = self_](error_kind error, const change_result& /*result*/)
+                            {
+                                if (error != error_kind::none)
+                                {
+                                    log_warning("control did not confirm that member " +
+                                                std::to_string(member) +
+                                                " left; its lease will end");
+                                }
+                            });
             self_ = 0;
             service_.clear();
             epoch_ = new_epoch();
--- a/modules/carawayshelf_io/peer_links.cpp
+++ b/modules/carawayshelf_io/peer_links.cpp
@@ -148,14 +148,4 @@
     return false;
 }
 
-std::vector<std::pair<instance_slot, endpoint>> peer_links::known() const
-{
-    std::vector<std::pair<instance_slot, endpoint>> all;
-    for (const auto& [slot, peer] : links_)
-    {
-        all.emplace_back(slot, peer.address);
-    }
-    return all;
-}
-
 } // namespace carawayshelf
--- a/modules/carawayshelf_io/peer_links.hpp
+++ b/modules/carawayshelf_io/peer_links.hpp
@@ -52,9 +52,6 @@
 
     bool is_outgoing(const frame_connection* connection) const;
 
-    /** Addresses of all known instances. */
-    std::vector<std::pair<instance_slot, endpoint>> known() const;
-
 private:
     struct link
     {
