--- a/modules/carawayshelf_consensus/consensus_core.cpp
+++ b/modules/carawayshelf_consensus/consensus_core.cpp
@@ -52,6 +52,11 @@
                                            : has_recent_leader(now);
 }
 
+bool consensus_core::is_current(time_point now) const
+{
+    return is_in_touch(now) && log_.term_at(commit_) == hard_.term;
+}
+
 log_index consensus_core::match_of(instance_id follower) const
 {
     const auto found = followers_.find(follower);
--- a/modules/carawayshelf_consensus/consensus_core.hpp
+++ b/modules/carawayshelf_consensus/consensus_core.hpp
@@ -148,6 +148,10 @@
         within the election timeout. */
     bool is_in_touch(time_point now) const;
 
+    /** Whether this instance is in touch and has committed a record of the present term, and so
+        everything that was committed before that term. */
+    bool is_current(time_point now) const;
+
     /** Last record that a follower is known to hold; zero when unknown. Only for the leader. */
     log_index match_of(instance_id follower) const;
 
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -140,6 +140,7 @@
     renewal_.hear(settings_.slot, stored.identity);
     core_ = std::make_unique<consensus_core>(consensus_settings{}, stored, random_seed(), now());
     is_storing_ = true;
+    has_been_current_ = false;
     return {};
 }
 
@@ -388,7 +389,7 @@
 
 bool control_server::is_confirmed() const
 {
-    return is_storing_ && core_->is_in_touch(now());
+    return is_storing_ && core_->is_current(now());
 }
 
 void control_server::answer_probe(const connection_pointer& connection, std::uint64_t number)
@@ -1091,6 +1092,13 @@
 
 void control_server::send_update(subscriber& to)
 {
+    // Right after a start the state is that of the snapshot, older than what daemons had before.
+    has_been_current_ = has_been_current_ || is_confirmed();
+    if (!has_been_current_)
+    {
+        is_update_due_ = true;
+        return;
+    }
     const generation current = state_.data().held;
     if (to.sent >= current)
     {
--- a/modules/carawayshelf_io/control_server.hpp
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -170,6 +170,7 @@
     std::unique_ptr<file_log_store> store_;
     bool is_storing_ = false; ///< The last attempt to use the disk succeeded.
     time_point storage_retry_at_;
+    bool has_been_current_ = false; ///< Since the log was loaded.
     std::unique_ptr<consensus_core> core_;
     cluster_state state_;
     voter_renewal renewal_;
--- a/modules/carawayshelf_io/packet_balancer_daemon.cpp
+++ b/modules/carawayshelf_io/packet_balancer_daemon.cpp
@@ -241,7 +241,6 @@
         }
         traffic_table_ = std::make_shared<const packet_table>(table_, *traffic_table_);
         worker_.set_table(traffic_table_);
-        worker_.confirm_table();
         held_ = table_.held();
         if (!is_ready_ && table_.rules())
         {
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -40,7 +40,6 @@
     const bool was_out = table_->is_domain_out(own_.domain);
     note_changes(now, *table);
     table_ = std::move(table);
-    confirmed_ = now;
     if (was_out && !table_->is_domain_out(own_.domain))
     {
         // The backend server may have turned cold meanwhile; its next announcement tells.
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -60,7 +60,7 @@
     packet_agent(const options& own, const packet_format& format, packet_port& port,
                  packet_counters& counters, packet_observer& observer);
 
-    /** Puts a new table in force. */
+    /** Puts a new table in force. It counts as fresh once it is confirmed. */
     void set_table(time_point now, std::shared_ptr<const packet_table> table);
 
     /** Control has confirmed that the table is the newest, as of now. */
--- a/tests/unit/control_front_test.cpp
+++ b/tests/unit/control_front_test.cpp
@@ -24,7 +24,15 @@
 {
 
 constexpr std::uint32_t first_address = 0x7F000C01;
-constexpr std::uint16_t control_port = 7433;
+
+/** A port that is free now, so that several runs don't meet. */
+std::uint16_t free_port()
+{
+    boost::asio::io_context io;
+    const boost::asio::ip::tcp::acceptor probe(
+        io, {boost::asio::ip::address_v4(first_address), std::uint16_t{0}});
+    return probe.local_endpoint().port();
+}
 
 /** Three control instances in one io_context, each with an address and a folder of its own. */
 struct cluster
@@ -122,6 +130,7 @@
     }
 
     boost::asio::io_context io;
+    std::uint16_t control_port = free_port();
     std::string folder;
     std::vector<control_settings> all_settings;
     std::vector<std::unique_ptr<control_server>> servers;
@@ -132,7 +141,7 @@
 std::string exchange(const std::string& bytes)
 {
     boost::asio::io_context io;
-    const endpoint address{first_address + 9, control_port};
+    const endpoint address{first_address + 9, free_port()};
     http_server server(io,
                        [](const http_request& request, const http_responder& respond) {
                            respond({200, "text/plain", request.method + " " + request.body});
@@ -236,6 +245,32 @@
     BOOST_TEST(all.run_until([&all] { return all.read(1).content == "five"; }));
 }
 
+BOOST_AUTO_TEST_CASE(an_instance_is_not_current_before_it_committed_in_the_present_term)
+{
+    stored_state stored;
+    stored.identity = make_identity(1, 1);
+    stored.hard = {1, 0};
+    stored.base.index = 1;
+    stored.base.term = 1;
+    stored.base.voters = {stored.identity};
+    log_record record;
+    record.index = 2;
+    record.term = 1;
+    record.kind = record_kind::payload;
+    stored.records = {record};
+    time_point instant(std::chrono::seconds(100));
+    consensus_core core(consensus_settings{}, stored, 1, instant);
+    BOOST_TEST(!core.is_current(instant));
+    instant += std::chrono::seconds(1);
+    core.tick(instant); // Leads, but hasn't stored the first record of its term.
+    BOOST_TEST((core.role() == consensus_role::leader));
+    BOOST_TEST(!core.is_current(instant));
+    core.take_output();
+    core.persisted(instant);
+    BOOST_TEST(core.is_current(instant));
+    BOOST_TEST(core.commit_index() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(http_requests_are_answered_and_bad_ones_refused)
 {
     BOOST_TEST(exchange("POST /x HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc").find("POST abc") !=
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -83,6 +83,7 @@
         table.apply(state.collect_update(table.held(), ""));
         traffic_table = std::make_shared<const packet_table>(table, *traffic_table);
         core->set_table(now, traffic_table);
+        core->confirm_table(now);
     }
 
     void announce(bool draining = false, duration cold_for = duration(0))
