--- a/modules/carawayshelf_core/counter_set.hpp
+++ b/modules/carawayshelf_core/counter_set.hpp
@@ -13,9 +13,9 @@
 class counter_set
 {
 public:
-    void add(Enum reason)
+    void add(Enum reason, std::uint64_t count = 1)
     {
-        values_[static_cast<std::size_t>(reason)].fetch_add(1, std::memory_order_relaxed);
+        values_[static_cast<std::size_t>(reason)].fetch_add(count, std::memory_order_relaxed);
     }
 
     std::uint64_t get(Enum reason) const
--- a/modules/carawayshelf_io/lease_table.cpp
+++ b/modules/carawayshelf_io/lease_table.cpp
@@ -118,6 +118,10 @@
     {
         return;
     }
+    if (lease->second.report.held < who.changed_at)
+    {
+        return; // Sent before the member's last change, so it may be older than that.
+    }
     if (is_due(now, "state " + std::to_string(who.id)))
     {
         changes.emplace_back(set_member_state{who.id, lease->second.report.state});
--- a/modules/carawayshelf_io/packet_balancer_daemon.cpp
+++ b/modules/carawayshelf_io/packet_balancer_daemon.cpp
@@ -97,6 +97,7 @@
             wake_.clear();
             const std::shared_ptr<const packet_table> table = std::atomic_load(&table_);
             const time_point instant = now();
+            core_.release_early(instant, *table, is_fresh(instant, *table));
             while (take_envelopes(instant) || take_packets(instant, *table))
             {
             }
@@ -110,6 +111,12 @@
         }
     }
 
+    bool is_fresh(time_point instant, const packet_table& table) const
+    {
+        return table.held() != 0 &&
+               instant.time_since_epoch().count() - confirmed_us_ < table_fresh_for.count();
+    }
+
     /** Returns whether there may be more. */
     bool take_envelopes(time_point instant)
     {
@@ -134,8 +141,7 @@
     /** Returns whether there may be more. */
     bool take_packets(time_point instant, const packet_table& table)
     {
-        const bool is_fresh =
-            instant.time_since_epoch().count() - confirmed_us_ < table_fresh_for.count();
+        const bool is_table_fresh = is_fresh(instant, table);
         const std::size_t count = received_.receive(entry_.get());
         for (std::size_t i = 0; i < count; ++i)
         {
@@ -144,7 +150,7 @@
                 counters_.drops.add(packet_drop::malformed);
                 continue;
             }
-            core_.take_packet(instant, table, is_fresh && table.held() != 0, received_.datagram(i));
+            core_.take_packet(instant, table, is_table_fresh, received_.datagram(i));
         }
         sockets_.flush();
         return count == batch_size;
--- a/modules/carawayshelf_io/platform_binding.hpp
+++ b/modules/carawayshelf_io/platform_binding.hpp
@@ -49,8 +49,10 @@
 public:
     virtual ~announcement_desk() = default;
 
-    /** The handler is called once the gate keeps to what was announced. */
-    virtual void announce(const server_announcement& announcement, std::function<void()> done) = 0;
+    /** The handler is called with true once the gate keeps to what was announced and goes on to do
+        so after a restart of the agent, with false when that can't be had at present. */
+    virtual void announce(const server_announcement& announcement,
+                          std::function<void(bool)> done) = 0;
 
     /** The backend server is about to end. */
     virtual void depart(const std::string& id, std::function<void()> done) = 0;
--- a/modules/carawayshelf_packets/carawayshelf_packets.hpp
+++ b/modules/carawayshelf_packets/carawayshelf_packets.hpp
@@ -3,20 +3,24 @@
     server.
 
     Purpose: placing of new flows by load, finding of open flows, the agent's gate before its
-    backend server. The backend server is the truth about its flows: it returns what it doesn't
-    hold, and the packet then visits the other members of the route. A flow is reset only when every
-    one of them has returned it. What balancers and agents remember of flows is a cache.
+    backend server, its membership. The backend server is the truth about its flows: it returns what
+   it doesn't hold, and the packet then visits the other members of the route. A flow is reset only
+   when every one of them has returned it. What balancers and agents remember of flows is a cache.
     Dependencies: carawayshelf_core, carawayshelf_catalogue, carawayshelf_wire. Does no input or
     output: packet formats, sockets and clocks are passed in.
 */
 #pragma once
 
 #include "carawayshelf_packets/cold_allowance.hpp"
+#include "carawayshelf_packets/early_packets.hpp"
 #include "carawayshelf_packets/flow_cache.hpp"
 #include "carawayshelf_packets/load_board.hpp"
+#include "carawayshelf_packets/opening_age.hpp"
 #include "carawayshelf_packets/opening_queue.hpp"
 #include "carawayshelf_packets/packet_agent.hpp"
 #include "carawayshelf_packets/packet_balancer.hpp"
 #include "carawayshelf_packets/packet_format.hpp"
 #include "carawayshelf_packets/packet_table.hpp"
+#include "carawayshelf_packets/server_membership.hpp"
+#include "carawayshelf_packets/service_meter.hpp"
 #include "carawayshelf_packets/visit_ring.hpp"
--- a/modules/carawayshelf_packets/load_board.cpp
+++ b/modules/carawayshelf_packets/load_board.cpp
@@ -11,12 +11,13 @@
     entries_[agent] = {told, 0.0, now};
 }
 
-void load_board::note_placed(const endpoint& agent)
+void load_board::note_placed(time_point now, const endpoint& agent)
 {
-    const auto found = entries_.find(agent);
-    if (found != entries_.end())
+    entry& known = entries_[agent];
+    known.placed += 1.0;
+    if (known.reported == time_point())
     {
-        found->second.placed += 1.0;
+        known.reported = now; // It is suspect unless its first report comes soon.
     }
 }
 
--- a/modules/carawayshelf_packets/load_board.hpp
+++ b/modules/carawayshelf_packets/load_board.hpp
@@ -2,6 +2,7 @@
 
 #include "carawayshelf_core/clock_time.hpp"
 #include "carawayshelf_core/endpoint.hpp"
+#include "carawayshelf_packets/service_meter.hpp"
 
 #include <cstdint>
 #include <unordered_map>
@@ -31,7 +32,7 @@
     struct report
     {
         double load = 0.0;
-        duration service_time{0}; ///< Of a request that finds a free slot.
+        duration service_time = first_service_time; ///< Of a request that finds a free slot.
         std::uint32_t slots = 1;
         bool is_closed = false;
         bool is_cold = false;
@@ -40,7 +41,7 @@
     void take_report(time_point now, const endpoint& agent, const report& told);
 
     /** This balancer has sent a new flow there. */
-    void note_placed(const endpoint& agent);
+    void note_placed(time_point now, const endpoint& agent);
 
     /** An agent that never reported counts as idle and not suspect. */
     load_estimate estimate(time_point now, const endpoint& agent) const;
--- a/modules/carawayshelf_packets/opening_queue.cpp
+++ b/modules/carawayshelf_packets/opening_queue.cpp
@@ -6,21 +6,23 @@
 namespace carawayshelf
 {
 
-void opening_queue::add(std::uint32_t priority, waiting_opening opening)
+void opening_queue::add(time_point now, std::uint32_t priority, waiting_opening opening)
 {
-    const place own{false, priority, ++last_arrival_};
+    const bool is_late = opening.late_after <= now;
+    const place own{is_late, priority, is_late ? opening.give_up : opening.late_after,
+                    ++last_arrival_};
     places_[opening.flow] = own;
     waiting_.emplace(own, std::move(opening));
 }
 
-bool opening_queue::hear_copy(time_point now, const packet_flow& flow)
+bool opening_queue::hear_copy(time_point gone_after, const packet_flow& flow)
 {
     const auto found = places_.find(flow);
     if (found == places_.end())
     {
         return false;
     }
-    waiting_.at(found->second).heard = now;
+    waiting_.at(found->second).gone_after = gone_after;
     return true;
 }
 
@@ -35,6 +37,7 @@
         }
         auto moved = waiting_.extract(current);
         moved.key().is_late = true;
+        moved.key().due = moved.mapped().give_up;
         places_[moved.mapped().flow] = moved.key();
         waiting_.insert(std::move(moved));
     }
@@ -70,10 +73,10 @@
     return expired;
 }
 
-std::size_t opening_queue::count_ahead(std::uint32_t priority) const
+std::size_t opening_queue::count_ahead(bool is_late, std::uint32_t priority) const
 {
-    return static_cast<std::size_t>(
-        std::distance(waiting_.begin(), waiting_.upper_bound(place{false, priority, UINT64_MAX})));
+    const place last{is_late, priority, time_point::max(), UINT64_MAX};
+    return static_cast<std::size_t>(std::distance(waiting_.begin(), waiting_.upper_bound(last)));
 }
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_packets/opening_queue.hpp
+++ b/modules/carawayshelf_packets/opening_queue.hpp
@@ -24,18 +24,18 @@
     std::string packet;
     time_point give_up;    ///< After this it is refused.
     time_point late_after; ///< After this its answer would come later than its client hopes.
-    time_point heard;      ///< When it, or a copy of it, came last.
+    time_point gone_after; ///< Unless another copy comes, its client has left by then.
 };
 
 /** Opening packets that wait before one backend server. Those whose answers can still be in time go
     before those that are late already, so that a backlog doesn't make everyone late; then the more
-    urgent ones, then in the order of arrival. Not thread-safe. */
+    urgent ones, then those whose time ends first. Not thread-safe. */
 class opening_queue
 {
 public:
     /** Adds a packet.
         @param priority  0 goes first */
-    void add(std::uint32_t priority, waiting_opening opening);
+    void add(time_point now, std::uint32_t priority, waiting_opening opening);
 
     /** Takes the next one out. */
     std::optional<waiting_opening> take_next(time_point now);
@@ -43,11 +43,12 @@
     /** Takes out those whose time is over. */
     std::vector<waiting_opening> take_expired(time_point now);
 
-    /** How many that are not late go before a new one of a priority. */
-    std::size_t count_ahead(std::uint32_t priority) const;
+    /** How many go before a new one. */
+    std::size_t count_ahead(bool is_late, std::uint32_t priority) const;
 
-    /** A copy of a packet came. Returns whether the flow waits here. */
-    bool hear_copy(time_point now, const packet_flow& flow);
+    /** A copy of a packet came. Returns whether the flow waits here.
+        @param gone_after  unless another copy comes, its client has left by then */
+    bool hear_copy(time_point gone_after, const packet_flow& flow);
 
     bool is_empty() const
     {
@@ -65,12 +66,18 @@
     {
         bool is_late = false;
         std::uint32_t priority = 0;
+        time_point due; ///< When it turns late, or is given up.
         std::uint64_t arrival = 0;
 
         bool operator<(const place& other) const
         {
-            return std::tie(is_late, priority, arrival) <
-                   std::tie(other.is_late, other.priority, other.arrival);
+            if (is_late && other.is_late)
+            {
+                return std::tie(priority, other.due, other.arrival) <
+                       std::tie(other.priority, due, arrival);
+            }
+            return std::tie(is_late, priority, due, arrival) <
+                   std::tie(other.is_late, other.priority, other.due, other.arrival);
         }
     };
 
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -12,20 +12,13 @@
 /** Without an announcement for this many intervals the backend server gets no new flows. */
 constexpr int missed_announcements = 3;
 
+/** Requests that a backend server serves at the same time, until it says so itself. */
+constexpr std::uint32_t assumed_slots = 2;
+
 /** Requests beyond the slots that the backend server is given: while one is answered, the next
    one's handshake is under way. More would wait there in the order of arrival. */
 constexpr std::uint32_t requests_ahead = 2;
 
-/** An opening packet waits at most this long for room: clients give an attempt up after 1.4 s. */
-constexpr duration longest_wait = std::chrono::milliseconds(1000);
-
-/** A client that waits sends copies 200 ms and 600 ms after its opening packet; one that sent none
-    for this long has left, or lost one and sends the next. */
-constexpr duration client_gone_after = std::chrono::milliseconds(450);
-
-/** And at most this part of its route's timeout, so that the request can still be answered. */
-constexpr int wait_part_of_timeout = 2;
-
 } // namespace
 
 packet_agent::packet_agent(const options& own, const packet_format& format, packet_port& port,
@@ -38,14 +31,56 @@
 void packet_agent::set_table(time_point now, std::shared_ptr<const packet_table> table)
 {
     const bool was_out = table_->is_domain_out(own_.domain);
+    const bool is_first = table_->held() == 0;
     note_changes(now, *table);
     table_ = std::move(table);
+    if (is_first && !has_server_)
+    {
+        resume(now);
+    }
     if (was_out && !table_->is_domain_out(own_.domain))
     {
         // The backend server may have turned cold meanwhile; its next announcement tells.
         must_announce_anew_ = true;
     }
     admit_waiting(now);
+    release_early(now);
+}
+
+/** Draining is acknowledged only once control has recorded it, so a member that the first table
+    shows as taking new flows has not been told that it gets none. */
+void packet_agent::resume(time_point now)
+{
+    const packet_member* own = table_->find_member(own_.service, own_.data);
+    if (own == nullptr || !own->takes_new)
+    {
+        return;
+    }
+    server_.service = own_.service;
+    server_.slots = assumed_slots;
+    must_announce_anew_ = true; // It may have restarted, too.
+    resumes_until_ = now + own_.announce_interval * resumes_for_announcements;
+}
+
+void packet_agent::release_early(time_point now)
+{
+    if (early_.is_empty() || table_->held() == 0)
+    {
+        return;
+    }
+    std::size_t dropped = 0;
+    std::deque<early_packets::item> kept = early_.take(now, dropped);
+    counters_.drops.add(packet_drop::no_table, dropped);
+    for (early_packets::item& early : kept)
+    {
+        client_packet packet{{}, early.packet.data(), early.packet.size()};
+        if (format_.decode(packet.bytes(), packet.head))
+        {
+            early.envelope.flags |= opening_flag_early;
+            take_packet(now, early.envelope, packet);
+        }
+    }
+    port_.flush(); // It sends from the packets' own memory.
 }
 
 void packet_agent::note_changes(time_point now, const packet_table& next)
@@ -102,6 +137,7 @@
     }
     departed_id_ = id;
     has_server_ = false;
+    resumes_until_ = time_point();
     return true;
 }
 
@@ -112,7 +148,11 @@
 
 bool packet_agent::is_server_known(time_point now) const
 {
-    return has_server_ && now - announced_ < own_.announce_interval * missed_announcements;
+    if (!has_server_)
+    {
+        return now < resumes_until_;
+    }
+    return now - announced_ < own_.announce_interval * missed_announcements;
 }
 
 bool packet_agent::is_cold(time_point now) const
@@ -139,7 +179,8 @@
         }
         return; // A late copy of the packet that opened the flow.
     }
-    if (waiting_.hear_copy(now, packet.flow()))
+    const duration silence = opening_age::silence_after(packet.head.acknowledged);
+    if (waiting_.hear_copy(now + silence, packet.flow()))
     {
         return; // A copy of one that waits.
     }
@@ -234,7 +275,7 @@
     {
         if (!queue_opening(now, envelope, route, packet))
         {
-            note_reset(packet_reset::refused, envelope, packet.head);
+            refuse(envelope, packet.head);
         }
         return;
     }
@@ -242,7 +283,8 @@
     if (is_first || load() < envelope.load)
     {
         envelope.load = static_cast<std::uint16_t>(std::min<std::uint32_t>(load(), UINT16_MAX));
-        envelope.flags = static_cast<std::uint8_t>((envelope.position + 1U) & opening_best_bits);
+        envelope.flags = static_cast<std::uint8_t>((envelope.flags & ~opening_best_bits) |
+                                                   (envelope.position + 1U));
     }
     pass_on(now, envelope, route, packet, pass_reason::full);
 }
@@ -250,31 +292,36 @@
 bool packet_agent::queue_opening(time_point now, const packet_envelope& envelope,
                                  const packet_route& route, const client_packet& packet)
 {
-    const duration allowed = std::min<duration>(
-        longest_wait, std::chrono::milliseconds(route.timeout_ms) / wait_part_of_timeout);
-    const std::size_t ahead = waiting_.count_ahead(route.priority) + 1;
-    const duration expected = service_time_ * static_cast<std::int64_t>(ahead) / server_.slots;
-    if (expected > allowed)
+    const std::uint32_t copy = packet.head.acknowledged;
+    const duration service_time = meter_.time();
+    const duration left =
+        opening_age::time_left(copy, std::chrono::milliseconds(route.timeout_ms)) - service_time;
+    // Its answer takes its own time and, mostly, that of one before it at the server. What waited
+    // for the first table is late already.
+    const bool was_early = (envelope.flags & opening_flag_early) != 0;
+    const duration in_time = was_early ? duration(0)
+                                       : std::chrono::milliseconds(route.target_latency_ms) -
+                                             opening_age::at_copy(copy) - service_time * 2;
+    const std::size_t ahead = waiting_.count_ahead(in_time <= duration(0), route.priority) + 1;
+    const duration expected = service_time * static_cast<std::int64_t>(ahead) / server_.slots;
+    if (expected > left)
     {
         return false;
     }
-    // Copies are late already.
-    const duration in_time =
-        packet.head.acknowledged != 0
-            ? duration(0)
-            : std::chrono::milliseconds(route.target_latency_ms) - service_time_ * 2;
-    waiting_.add(route.priority, {envelope, packet.flow(), std::string(packet.bytes()),
-                                  now + allowed, now + in_time, now});
+    waiting_.add(now, route.priority,
+                 {envelope, packet.flow(), std::string(packet.bytes()), now + left, now + in_time,
+                  now + opening_age::silence_after(copy)});
     tell_holder(packet.flow(), envelope.balancer); // Copies come here.
     return true;
 }
 
 void packet_agent::admit_waiting(time_point now)
 {
+    refuse_expired(now);
     while (!waiting_.is_empty() && busy_ < server_.slots + requests_ahead)
     {
         waiting_opening next = std::move(*waiting_.take_next(now));
-        if (now - next.heard > client_gone_after)
+        if (now > next.gone_after)
         {
             counters_.drops.add(packet_drop::client_gone);
             continue;
@@ -296,6 +343,17 @@
     }
 }
 
+/** Resets the flow, unless a later copy of its opening packet may have opened it elsewhere. */
+void packet_agent::refuse(const packet_envelope& envelope, const packet_head& head)
+{
+    if ((envelope.flags & opening_flag_early) != 0)
+    {
+        note_dropped(packet_drop::too_late, envelope, head);
+        return;
+    }
+    note_reset(packet_reset::refused, envelope, head);
+}
+
 void packet_agent::refuse_expired(time_point now)
 {
     for (waiting_opening& expired : waiting_.take_expired(now))
@@ -303,7 +361,7 @@
         packet_head head;
         if (format_.decode(expired.packet, head))
         {
-            note_reset(packet_reset::refused, expired.envelope, head);
+            refuse(expired.envelope, head);
         }
     }
 }
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -1,12 +1,17 @@
 #pragma once
 
 #include "carawayshelf_packets/cold_allowance.hpp"
+#include "carawayshelf_packets/early_packets.hpp"
+#include "carawayshelf_packets/load_board.hpp"
+#include "carawayshelf_packets/opening_age.hpp"
 #include "carawayshelf_packets/opening_queue.hpp"
 #include "carawayshelf_packets/packet_counters.hpp"
 #include "carawayshelf_packets/packet_format.hpp"
 #include "carawayshelf_packets/packet_observer.hpp"
 #include "carawayshelf_packets/packet_port.hpp"
 #include "carawayshelf_packets/packet_table.hpp"
+#include "carawayshelf_packets/server_announcement.hpp"
+#include "carawayshelf_packets/service_meter.hpp"
 #include "carawayshelf_packets/visit_ring.hpp"
 
 #include <deque>
@@ -18,18 +23,6 @@
 namespace carawayshelf
 {
 
-/** What a backend server says of itself. */
-struct server_announcement
-{
-    std::string id;
-    std::string service;
-    std::uint64_t started_at = 0; ///< Start of this incarnation, in its own time.
-    std::uint64_t sequence = 0;   ///< Grows with each announcement of an incarnation.
-    bool is_draining = false;
-    duration cold_for{0}; ///< How much longer it bears only little.
-    std::uint32_t slots = 1;
-};
-
 /** The decisions of the agent beside a backend server whose flows are packets: the last gate for
     new flows, the queue before it, the search for open flows, and resets. Not thread-safe; no I/O.
  */
@@ -69,6 +62,10 @@
         confirmed_ = now;
     }
 
+    /** Until its backend server announces itself anew, a restarted agent goes by what control has
+        recorded of it, for this long: an interval of announcements, and what may delay one. */
+    static constexpr int resumes_for_announcements = 2;
+
     /** Takes an announcement in. Once it returns, what it says holds here. Returns false for one
         that is older than what is known. */
     bool take_announcement(time_point now, const server_announcement& announcement);
@@ -76,7 +73,8 @@
     /** The backend server has left. Returns false when another one is known by now. */
     bool take_departure(const std::string& id);
 
-    /** Takes a datagram from a balancer or an agent; the packet in it may be written to. */
+    /** Takes a datagram from a balancer or an agent; the packet in it may be written to. One that
+        comes before the first table waits for that. */
     void take_envelope(time_point now, const packet_envelope& envelope, char* packet,
                        std::size_t size);
 
@@ -99,9 +97,6 @@
     }
 
 private:
-    /** Taken for the time of a request until one was measured. */
-    static constexpr duration first_service_time = std::chrono::milliseconds(20);
-
     enum class flow_state : std::uint8_t
     {
         searching, ///< Given to the backend server, which may not hold it.
@@ -145,6 +140,9 @@
 
     // New flows, in packet_agent.cpp.
     void note_changes(time_point now, const packet_table& next);
+    void release_early(time_point now);
+    void resume(time_point now);
+    void take_packet(time_point now, const packet_envelope& envelope, const client_packet& packet);
     void take_opening(time_point now, const packet_envelope& envelope, const packet_route& route,
                       const client_packet& packet);
     void decide_opening(time_point now, const packet_envelope& envelope, const packet_route& route,
@@ -162,6 +160,7 @@
                        const client_packet& packet);
     void admit_waiting(time_point now);
     void refuse_expired(time_point now);
+    void refuse(const packet_envelope& envelope, const packet_head& head);
 
     // Flows and packets on their way, in packet_agent_flows.cpp.
     void take_flow_packet(time_point now, const packet_envelope& envelope,
@@ -198,6 +197,7 @@
     bool is_member_ = false;
     std::unordered_map<endpoint, time_point> led_since_; ///< Routes that lead here since lately.
 
+    early_packets early_;
     flow_map flows_;
     visit_ring visits_;
     cold_allowance cold_;
@@ -205,7 +205,7 @@
     std::unordered_map<endpoint, time_point> watchers_; ///< Balancers that want load reports.
     std::uint32_t busy_ = 0;
     std::deque<std::pair<time_point, packet_flow>> answered_openings_; ///< Oldest first.
-    duration service_time_ = first_service_time; ///< Smoothed; of requests that found a free slot.
+    service_meter meter_;
 
     bool has_server_ = false;
     server_announcement server_;
@@ -213,6 +213,7 @@
     time_point cold_until_;
     bool must_announce_anew_ = false; ///< Its failure domain has just come back.
     std::string departed_id_;
+    time_point resumes_until_; ///< Goes by what control recorded until then.
 };
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -28,9 +28,6 @@
 /** Data of a full packet; a shorter one ends an answer. */
 constexpr std::uint32_t full_packet_bytes = 1200;
 
-/** Part of a new measurement in the smoothed service time, as one over this. */
-constexpr int service_time_smoothing = 16;
-
 } // namespace
 
 void packet_agent::take_envelope(time_point now, const packet_envelope& envelope, char* data,
@@ -49,6 +46,17 @@
         counters_.drops.add(packet_drop::malformed);
         return;
     }
+    if (table_->held() == 0)
+    {
+        counters_.drops.add(packet_drop::no_table, early_.keep(now, envelope, packet.bytes()));
+        return;
+    }
+    take_packet(now, envelope, packet);
+}
+
+void packet_agent::take_packet(time_point now, const packet_envelope& envelope,
+                               const client_packet& packet)
+{
     const packet_route* route = table_->find_route(packet.head.destination);
     if (route != nullptr)
     {
@@ -225,7 +233,7 @@
 {
     if (head.is_opening)
     {
-        note_reset(packet_reset::refused, envelope, head);
+        refuse(envelope, head);
         return;
     }
     const bool knows_all = is_table_fresh(now) && envelope.held <= table_->held();
@@ -303,9 +311,9 @@
     }
     item.is_busy = false;
     --busy_;
-    if (was_answered && item.found_free_slot)
+    if (was_answered)
     {
-        service_time_ += (now - item.busy_since - service_time_) / service_time_smoothing;
+        meter_.note_answer(now, now - item.busy_since, item.found_free_slot, busy_, server_.slots);
     }
 }
 
@@ -332,7 +340,6 @@
 void packet_agent::tick(time_point now)
 {
     forget_old_flows(now);
-    refuse_expired(now);
     release_unanswered(now);
     admit_waiting(now);
     report_load(now);
@@ -364,12 +371,14 @@
     report.held = table_->held();
     report.load =
         static_cast<std::uint16_t>(std::min<std::uint32_t>(load() * load_unit, UINT16_MAX));
-    report.service_time = service_time_;
+    report.service_time = meter_.time();
     report.slots = static_cast<std::uint8_t>(std::min<std::uint32_t>(server_.slots, UINT8_MAX));
     const bool takes_new = is_server_known(now) && !server_.is_draining && table_->held() != 0 &&
                            !table_->is_domain_out(own_.domain);
+    const bool is_bounded =
+        is_cold(now) && (now < cold_until_ || table_->cold_requests_per_s(service()) > 0.0);
     report.flags = static_cast<std::uint8_t>((takes_new ? 0 : load_flag_closed) |
-                                             (is_cold(now) ? load_flag_cold : 0));
+                                             (is_bounded ? load_flag_cold : 0));
     for (auto item = watchers_.begin(); item != watchers_.end();)
     {
         if (now - item->second > watcher_memory)
--- a/modules/carawayshelf_packets/packet_balancer.cpp
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -32,30 +32,30 @@
                                   std::string_view bytes)
 {
     ++counters_.received;
+    if (table.held() == 0)
+    {
+        counters_.drops.add(packet_drop::no_table, early_.keep(now, {}, bytes));
+        return;
+    }
+    relay(now, table, is_fresh, {}, bytes);
+}
+
+void packet_balancer::relay(time_point now, const packet_table& table, bool is_fresh,
+                            packet_envelope envelope, std::string_view bytes)
+{
     packet_head head;
     if (!format_.decode(bytes, head))
     {
         counters_.drops.add(packet_drop::malformed);
         return;
     }
-    packet_envelope envelope;
     envelope.held = table.held();
     envelope.balancer = own_.data;
     envelope.flow = {head.source, head.destination};
     const packet_route* route = table.find_route(head.destination);
     if (route == nullptr)
     {
-        // A flow may have been opened on a route that is not known here yet.
-        const bool may_be_new = !head.is_opening && !table.had_route(head.destination);
-        if (!is_fresh || may_be_new || head.is_reset)
-        {
-            counters_.drops.add(packet_drop::no_route);
-            note("dropped", packet_drop_names.name(packet_drop::no_route), envelope, head);
-            return;
-        }
-        counters_.resets.add(packet_reset::no_route);
-        note("reset", packet_reset_names.name(packet_reset::no_route), envelope, head);
-        port_.send_reset(envelope.flow, reset_sequence(head));
+        refuse_unknown(table, is_fresh, envelope, head);
         return;
     }
     if (head.is_opening)
@@ -76,6 +76,41 @@
     port_.send_envelope(envelope.candidates[0], envelope, bytes);
 }
 
+/** The packet's route is not known here. */
+void packet_balancer::refuse_unknown(const packet_table& table, bool is_fresh,
+                                     const packet_envelope& envelope, const packet_head& head)
+{
+    // A flow may have been opened on a route that is not known here yet.
+    const bool may_be_new = !head.is_opening && !table.had_route(head.destination);
+    if (!is_fresh || may_be_new || head.is_reset)
+    {
+        counters_.drops.add(packet_drop::no_route);
+        note("dropped", packet_drop_names.name(packet_drop::no_route), envelope, head);
+        return;
+    }
+    counters_.resets.add(packet_reset::no_route);
+    note("reset", packet_reset_names.name(packet_reset::no_route), envelope, head);
+    port_.send_reset(envelope.flow, reset_sequence(head));
+}
+
+void packet_balancer::release_early(time_point now, const packet_table& table, bool is_fresh)
+{
+    if (early_.is_empty() || table.held() == 0)
+    {
+        return;
+    }
+    std::size_t dropped = 0;
+    const std::deque<early_packets::item> kept = early_.take(now, dropped);
+    counters_.drops.add(packet_drop::no_table, dropped);
+    for (const early_packets::item& early : kept)
+    {
+        packet_envelope envelope;
+        envelope.flags = opening_flag_early;
+        relay(now, table, is_fresh, envelope, early.packet);
+    }
+    port_.flush(); // It sends from the packets' own memory.
+}
+
 void packet_balancer::note(const char* what, std::string_view reason,
                            const packet_envelope& envelope, const packet_head& head)
 {
@@ -117,7 +152,7 @@
     if (envelope.candidate_count != 0)
     {
         ++counters_.placed;
-        loads_.note_placed(envelope.candidates[0]);
+        loads_.note_placed(now, envelope.candidates[0]);
         cache_.put(flow_hash, envelope.candidates[0], now);
     }
 }
--- a/modules/carawayshelf_packets/packet_balancer.hpp
+++ b/modules/carawayshelf_packets/packet_balancer.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carawayshelf_packets/early_packets.hpp"
 #include "carawayshelf_packets/flow_cache.hpp"
 #include "carawayshelf_packets/load_board.hpp"
 #include "carawayshelf_packets/packet_counters.hpp"
@@ -29,11 +30,14 @@
     packet_balancer(const options& own, const packet_format& format, packet_port& port,
                     packet_counters& counters, packet_observer& observer);
 
-    /** Takes a client's packet.
+    /** Takes a client's packet; one that comes before the first table waits for that.
         @param is_fresh  whether control confirmed the table a moment ago */
     void take_packet(time_point now, const packet_table& table, bool is_fresh,
                      std::string_view bytes);
 
+    /** Sends on what came before the first table. Call once there is a table. */
+    void release_early(time_point now, const packet_table& table, bool is_fresh);
+
     /** Takes a datagram from an agent. */
     void take_envelope(time_point now, const packet_envelope& envelope, const endpoint& sender);
 
@@ -51,6 +55,10 @@
         std::uint64_t rank = 0;
     };
 
+    void relay(time_point now, const packet_table& table, bool is_fresh, packet_envelope envelope,
+               std::string_view bytes);
+    void refuse_unknown(const packet_table& table, bool is_fresh, const packet_envelope& envelope,
+                        const packet_head& head);
     void note(const char* what, std::string_view reason, const packet_envelope& envelope,
               const packet_head& head);
     void place(time_point now, const packet_table& table, const packet_route& route,
@@ -68,6 +76,7 @@
     packet_observer& observer_;
     flow_cache cache_;
     load_board loads_;
+    early_packets early_;
     std::vector<ranked_member> ranked_;
 };
 
--- a/modules/carawayshelf_packets/packet_counters.hpp
+++ b/modules/carawayshelf_packets/packet_counters.hpp
@@ -17,11 +17,14 @@
     no_member,   ///< The route has no member to send it to.
     lost_flow,   ///< Every known member has returned it, but the own table may be too old.
     client_gone, ///< It had left before there was room.
-    send_failed
+    send_failed,
+    no_table, ///< It came before the first table, and that took too long.
+    too_late  ///< An opening that waited for the first table found no room.
 };
 
-inline constexpr name_table<packet_drop, 6> packet_drop_names{
-    {"malformed", "no_route", "no_member", "lost_flow", "client_gone", "send_failed"}};
+inline constexpr name_table<packet_drop, 8> packet_drop_names{
+    {"malformed", "no_route", "no_member", "lost_flow", "client_gone", "send_failed", "no_table",
+     "too_late"}};
 
 /** Why a flow was reset. */
 enum class packet_reset
--- a/modules/carawayshelf_packets/packet_table.cpp
+++ b/modules/carawayshelf_packets/packet_table.cpp
@@ -85,6 +85,21 @@
     return found == routes_.end() ? nullptr : &found->second;
 }
 
+const packet_member* packet_table::find_member(const std::string& service,
+                                               const endpoint& agent) const
+{
+    const auto found = services_.find(service);
+    if (found == services_.end())
+    {
+        return nullptr;
+    }
+    const std::vector<packet_member>& members = members_[found->second];
+    const auto member =
+        std::find_if(members.begin(), members.end(),
+                     [&agent](const packet_member& who) { return who.data == agent; });
+    return member == members.end() ? nullptr : &*member;
+}
+
 std::uint32_t packet_table::pick_service(const packet_route& route, std::uint64_t flow_hash) const
 {
     std::uint64_t left = route.total_weight == 0 ? 0 : flow_hash % route.total_weight;
--- a/modules/carawayshelf_packets/packet_table.hpp
+++ b/modules/carawayshelf_packets/packet_table.hpp
@@ -64,6 +64,9 @@
         return agents_.count(agent) != 0;
     }
 
+    /** The member of a service that an agent has, or nullptr. */
+    const packet_member* find_member(const std::string& service, const endpoint& agent) const;
+
     /** Members of a service. Precondition: the index comes from a route of this table. */
     const std::vector<packet_member>& members_of(std::uint32_t service) const
     {
--- /dev/null
+++ b/modules/carawayshelf_packets/server_announcement.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "carawayshelf_core/clock_time.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace carawayshelf
+{
+
+/** What a backend server says of itself. */
+struct server_announcement
+{
+    std::string id;
+    std::string service;
+    std::uint64_t started_at = 0; ///< Start of this incarnation, in its own time.
+    std::uint64_t sequence = 0;   ///< Grows with each announcement of an incarnation.
+    bool is_draining = false;
+    duration cold_for{0}; ///< How much longer it bears only little.
+    std::uint32_t slots = 1;
+};
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_packets/server_membership.cpp
@@ -0,0 +1,186 @@
+#include "carawayshelf_packets/server_membership.hpp"
+
+namespace carawayshelf
+{
+
+server_membership::server_membership(identity own, membership_port& port)
+    : own_(std::move(own)), port_(port), epoch_(port.new_epoch())
+{
+}
+
+member_state server_membership::state() const
+{
+    if (is_draining_)
+    {
+        return member_state::draining;
+    }
+    return is_cold_ ? member_state::cold : member_state::warm;
+}
+
+void server_membership::take_announcement(const server_announcement& announcement,
+                                          const answer& done)
+{
+    const bool is_news = announcement.id != server_id_ || announcement.is_draining != is_draining_;
+    if (is_news)
+    {
+        port_.note("backend server " + announcement.id + " of service '" + announcement.service +
+                   "' announces itself as " + (announcement.is_draining ? "draining" : "ready"));
+        is_draining_recorded_ = false;
+    }
+    if (service_ != announcement.service)
+    {
+        leave();
+    }
+    service_ = announcement.service;
+    server_id_ = announcement.id;
+    is_draining_ = announcement.is_draining;
+    is_cold_ = announcement.cold_for > duration(0);
+    port_.report();
+    join();
+    answer_when_recorded(done);
+}
+
+void server_membership::take_repeat(const std::string& id, const answer& done)
+{
+    if (id != server_id_)
+    {
+        done(true); // Of an earlier incarnation.
+        return;
+    }
+    answer_when_recorded(done);
+}
+
+void server_membership::answer_when_recorded(const answer& done)
+{
+    if (!is_draining_ || is_draining_recorded_)
+    {
+        done(true);
+        return;
+    }
+    waiting_.push_back(done);
+    if (waiting_.size() == 1)
+    {
+        record_draining();
+    }
+}
+
+void server_membership::record_draining()
+{
+    if (member_ == 0)
+    {
+        join(); // It joins as draining, unless it is joining already.
+        return;
+    }
+    port_.propose(set_member_state{member_, member_state::draining},
+                  [this, member = member_](error_kind error, const change_result& /*result*/)
+                  { answer_draining(error == error_kind::none && member == member_); });
+}
+
+void server_membership::answer_draining(bool is_recorded)
+{
+    is_draining_recorded_ = is_recorded && is_draining_;
+    for (const answer& done : std::exchange(waiting_, {}))
+    {
+        done(is_recorded);
+    }
+}
+
+void server_membership::take_departure(const std::string& id)
+{
+    if (id != server_id_)
+    {
+        return;
+    }
+    port_.note("backend server " + id + " has departed");
+    answer_draining(true); // It is gone already.
+    leave();
+    service_.clear();
+    server_id_.clear();
+    is_draining_ = false;
+}
+
+void server_membership::leave()
+{
+    if (member_ != 0)
+    {
+        port_.propose(retire_member{member_},
+                      [this, member = member_](error_kind error, const change_result& /*result*/)
+                      {
+                          if (error != error_kind::none)
+                          {
+                              port_.note("control did not confirm that member " +
+                                         std::to_string(member) + " left; its lease will end");
+                          }
+                      });
+    }
+    forget_member();
+}
+
+void server_membership::forget_member()
+{
+    member_ = 0;
+    epoch_ = port_.new_epoch();
+    is_draining_recorded_ = false;
+}
+
+void server_membership::join()
+{
+    if (member_ != 0 || is_joining_ || service_.empty())
+    {
+        return;
+    }
+    is_joining_ = true;
+    announce_member edit;
+    edit.name = own_.name;
+    edit.domain = own_.domain;
+    edit.service = service_;
+    edit.data = own_.data;
+    edit.epoch = epoch_;
+    edit.protocol = flow_protocol::packets;
+    edit.state = state();
+    port_.propose(edit, [this, epoch = epoch_, joined_as = edit.state](error_kind error,
+                                                                       const change_result& result)
+                  { on_joined(epoch, joined_as, error, result); });
+}
+
+void server_membership::on_joined(std::uint64_t epoch, member_state joined_as, error_kind error,
+                                  const change_result& result)
+{
+    is_joining_ = false;
+    if (error != error_kind::none || result.error != error_kind::none)
+    {
+        answer_draining(false);
+        port_.join_later();
+        return;
+    }
+    member_ = result.member;
+    joined_at_ = result.made_at;
+    if (epoch != epoch_)
+    {
+        leave(); // It departed, or another one took its place, before the answer came.
+        join();
+        return;
+    }
+    port_.note("is member " + std::to_string(member_) + " of service '" + service_ + "'");
+    port_.report();
+    if (joined_as == member_state::draining)
+    {
+        answer_draining(true);
+    }
+    else if (!waiting_.empty())
+    {
+        record_draining();
+    }
+}
+
+void server_membership::take_table(const subscriber_table& table)
+{
+    if (member_ != 0 && table.held() > joined_at_ && table.members().count(member_) == 0)
+    {
+        port_.note("member " + std::to_string(member_) + " was retired: joins anew");
+        forget_member();
+        join();
+    }
+}
+
+} // namespace carawayshelf
--- a/modules/carawayshelf_wire/packet_envelope.hpp
+++ b/modules/carawayshelf_wire/packet_envelope.hpp
@@ -32,8 +32,11 @@
 constexpr std::uint8_t load_flag_cold = 2;   ///< Takes few new flows.
 
 /** Bits of packet_envelope::flags with an opening packet: the candidate that was least loaded, from
-    1, or 0 while none could have taken it; and that it must queue or refuse the packet. */
+    1, or 0 while none could have taken it; that the packet has waited for a process's first table,
+    so a later copy of it may have opened the flow meanwhile; and that the candidate must queue or
+    refuse the packet. */
 constexpr std::uint8_t opening_best_bits = 0x3F;
+constexpr std::uint8_t opening_flag_early = 0x40;
 constexpr std::uint8_t opening_flag_final = 0x80;
 
 /** Load reports count in parts of one request under way. */
--- a/tests/fakes/packet_world.cpp
+++ b/tests/fakes/packet_world.cpp
@@ -123,6 +123,15 @@
     case packet_step_kind::drain:
         picked.server_drains = true;
         break;
+    case packet_step_kind::drain_and_restart_agent:
+    {
+        const duration cut_for = std::chrono::milliseconds(50 + step.pick % 400);
+        picked.server_drains = true;
+        picked.cut_until = now_ + cut_for;
+        at(cut_for / 2, [this, agent] { announce_server(agent); });
+        at(cut_for, [this, agent] { start_agent(agent); });
+        break;
+    }
     case packet_step_kind::leave:
         if (picked.server_lives && picked.drain_is_acknowledged)
         {
@@ -246,6 +255,7 @@
     node.traffic_table = std::make_shared<const packet_table>(node.table, *node.traffic_table);
     node.confirmed = now_;
     node.is_ready = true;
+    node.core->release_early(now_, *node.traffic_table, true);
     node.core->tick(now_, *node.traffic_table);
 }
 
@@ -335,6 +345,13 @@
            if (agents_[index]->life == life)
            {
                publish_to(*agents_[index]);
+           }
+       });
+    at(std::chrono::milliseconds(20 + random(announce_interval / std::chrono::milliseconds(1))),
+       [this, index, life]
+       {
+           if (agents_[index]->life == life)
+           {
                announce_server(index);
            }
        });
@@ -355,12 +372,16 @@
     announcement.is_draining = node.server_drains && !broken_.drain_not_announced;
     announcement.slots = 2;
     node.core->take_announcement(now_, announcement);
-    if (node.server_drains && !node.drain_is_acknowledged)
+    announce_member_of(index);
+    const auto member = truth_.data().members.find(node.member);
+    const bool is_recorded =
+        member != truth_.data().members.end() && member->second.state == member_state::draining;
+    if (node.server_drains && !node.drain_is_acknowledged &&
+        (is_recorded || broken_.drain_not_recorded))
     {
         node.drain_is_acknowledged = true;
         node.drain_acknowledged = now_;
     }
-    announce_member_of(index);
     const std::uint64_t life = node.life;
     at(announce_interval,
        [this, index, life]
--- a/tests/fakes/packet_world.hpp
+++ b/tests/fakes/packet_world.hpp
@@ -23,6 +23,7 @@
     advance,
     join,
     drain,
+    drain_and_restart_agent, ///< The agent is cut from control when it hears of it.
     leave,
     restart_agent,
     restart_balancer,
@@ -50,6 +51,7 @@
     bool others_unknown = false;       ///< Agents hear of no member but themselves.
     bool departures_hidden = false;    ///< Balancers don't hear of members that left.
     bool drain_not_announced = false;  ///< The gate isn't told that its server drains.
+    bool drain_not_recorded = false;   ///< It is acknowledged before control has recorded it.
     bool packet_changed = false;       ///< An agent changes what it carries.
     bool wrong_service_served = false; ///< The gate takes its server for one of another service.
 };
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -71,10 +71,10 @@
 class recorded_desk : public announcement_desk
 {
 public:
-    void announce(const server_announcement& announcement, std::function<void()> done) override
+    void announce(const server_announcement& announcement, std::function<void(bool)> done) override
     {
         announced.push_back(announcement);
-        done();
+        done(is_kept);
     }
 
     void depart(const std::string& id, std::function<void()> done) override
@@ -85,6 +85,7 @@
 
     std::vector<server_announcement> announced;
     std::vector<std::string> departed;
+    bool is_kept = true;
 };
 
 http_reply order(recorded_orders& orders, const http_request& request)
@@ -277,6 +278,8 @@
                200U);
     BOOST_TEST(announce(desk, {"GET", path, ""}).status == 404U);
     BOOST_TEST(desk.announced.size() == 1U);
+    desk.is_kept = false;
+    BOOST_TEST(announce(desk, {"POST", path, good_heartbeat}).status == 503U);
     BOOST_TEST(desk.departed.size() == 1U);
 }
 
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -58,14 +58,15 @@
         traffic_route route;
         route.name = "orders";
         route.address = address;
-        route.timeout_ms = 500;
+        route.timeout_ms = timeout_ms;
         route.target_latency_ms = 100;
         route.shares = {{service, 1}};
         configuration.routes = {route};
         state.apply(++last, replace_configuration{configuration});
     }
 
-    void add_member(const endpoint& data, const std::string& service = "ordering")
+    void add_member(const endpoint& data, const std::string& service = "ordering",
+                    member_state recorded = member_state::warm)
     {
         announce_member edit;
         edit.name = to_string(data);
@@ -74,7 +75,7 @@
         edit.data = data;
         edit.epoch = ++last;
         edit.protocol = flow_protocol::packets;
-        edit.state = member_state::warm;
+        edit.state = recorded;
         state.apply(++last, edit);
     }
 
@@ -171,6 +172,7 @@
     cluster_state state;
     generation last = 0;
     std::uint64_t version = 0;
+    std::uint32_t timeout_ms = 500;
     std::uint64_t announcements = 0;
     subscriber_table table;
     std::shared_ptr<const packet_table> traffic_table = std::make_shared<const packet_table>();
@@ -203,8 +205,10 @@
     bench.open(2000);
     BOOST_TEST(bench.to_server.empty());
     bench.put_configuration("ordering");
+    bench.publish();
     bench.add_member(own_data);
     bench.publish();
+    bench.now += packet_agent::settle_time;
     bench.open(2001);
     BOOST_TEST(bench.to_server.empty());
     bench.announce();
@@ -212,6 +216,67 @@
     BOOST_TEST(bench.to_server.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_restarted_agent_goes_by_what_control_recorded_until_its_server_speaks)
+{
+    for (const member_state recorded :
+         {member_state::warm, member_state::draining, member_state::silent})
+    {
+        agent_bench bench;
+        bench.put_configuration("ordering");
+        bench.add_member(own_data, "ordering", recorded);
+        bench.publish();
+        bench.open(2000);
+        const bool takes_new = recorded == member_state::warm;
+        BOOST_TEST(bench.to_server.size() == (takes_new ? 1U : 0U));
+        // Silence isn't trusted for longer than an announcement takes to come.
+        bench.now += std::chrono::seconds(packet_agent::resumes_for_announcements);
+        bench.open(2001);
+        BOOST_TEST(bench.to_server.size() == (takes_new ? 1U : 0U));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_agent_takes_its_server_for_a_cold_one)
+{
+    agent_bench bench;
+    bench.put_configuration("ordering", 2.0);
+    bench.add_member(own_data);
+    bench.publish();
+    for (std::uint16_t i = 0; i < 20; ++i)
+    {
+        bench.open(static_cast<std::uint16_t>(2000 + i));
+        bench.answer(static_cast<std::uint16_t>(2000 + i));
+    }
+    BOOST_TEST(bench.to_server.size() == 5U); // 2 a second, and 3 beyond.
+}
+
+BOOST_AUTO_TEST_CASE(a_departed_server_is_not_resumed)
+{
+    agent_bench bench;
+    bench.put_configuration("ordering");
+    bench.add_member(own_data);
+    bench.publish();
+    bench.core->take_departure("server");
+    bench.open(2000);
+    BOOST_TEST(bench.to_server.empty());
+}
+
+BOOST_AUTO_TEST_CASE(what_comes_before_the_first_table_is_taken_with_it)
+{
+    agent_bench bench;
+    bench.announce();
+    bench.open(2000);
+    bench.now += early_packets::kept_for / 2;
+    bench.open(2001);
+    bench.now += early_packets::kept_for / 2;
+    bench.put_configuration("ordering");
+    bench.add_member(own_data);
+    bench.publish();
+    BOOST_REQUIRE_EQUAL(bench.to_server.size(), 1U);
+    BOOST_TEST(test_packets::read(bench.to_server.back()).head.source.port == 2001U);
+    BOOST_TEST(bench.counters.drops.get(packet_drop::no_table) == 1U);
+    BOOST_TEST(bench.counters.received.load() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_server_gets_no_new_flow_and_keeps_its_own)
 {
     agent_bench bench;
@@ -437,8 +502,8 @@
 {
     agent_bench bench;
     bench.start();
-    // 500 ms of timeout allow 250 ms of waiting: 25 requests of 20 ms at two slots.
-    for (std::uint16_t i = 0; i < 4 + 25; ++i)
+    // 500 ms of timeout allow 480 ms of waiting: 48 requests of 20 ms at two slots.
+    for (std::uint16_t i = 0; i < 4 + 48; ++i)
     {
         bench.open(static_cast<std::uint16_t>(2000 + i), opening_flag_final);
     }
@@ -447,6 +512,76 @@
     BOOST_TEST(bench.was_reset());
 }
 
+BOOST_AUTO_TEST_CASE(a_copy_that_comes_too_late_for_its_client_is_refused_at_once)
+{
+    agent_bench bench;
+    bench.start();
+    for (std::uint16_t i = 0; i < 4; ++i)
+    {
+        bench.open(static_cast<std::uint16_t>(2000 + i), opening_flag_final);
+    }
+    // The second copy comes 600 ms after the first opening; the route's timeout is 500 ms.
+    test_packets::layout copy = bench.packet_of(2100, true);
+    copy.head.acknowledged = 2;
+    bench.send(copy, {own_data}, 0, opening_flag_final);
+    BOOST_TEST(bench.was_reset());
+}
+
+BOOST_AUTO_TEST_CASE(an_opening_waits_for_a_client_that_has_sent_its_last_copy)
+{
+    agent_bench bench;
+    bench.timeout_ms = 1500;
+    bench.start();
+    for (std::uint16_t i = 0; i < 4; ++i)
+    {
+        bench.open(static_cast<std::uint16_t>(2000 + i), opening_flag_final);
+    }
+    test_packets::layout copy = bench.packet_of(2100, true);
+    copy.head.acknowledged = 2;
+    bench.send(copy, {own_data}, 0, opening_flag_final);
+    // Its client waits until 1.4 s after its first opening, that is 800 ms from now.
+    bench.now += std::chrono::milliseconds(700);
+    bench.answer(2000);
+    BOOST_REQUIRE_EQUAL(bench.to_server.size(), 5U);
+    BOOST_TEST(test_packets::read(bench.to_server.back()).head.source.port == 2100U);
+}
+
+BOOST_AUTO_TEST_CASE(late_openings_go_newest_first_so_that_a_backlog_costs_only_its_oldest)
+{
+    opening_queue queue;
+    const time_point start(std::chrono::seconds(1));
+    for (std::uint16_t i = 1; i <= 3; ++i)
+    {
+        waiting_opening opening;
+        opening.flow = {{client.address, i}, address};
+        opening.late_after = start;
+        opening.give_up = start + std::chrono::milliseconds(100) * i;
+        opening.gone_after = start + std::chrono::seconds(1);
+        queue.add(start, 0, opening);
+    }
+    BOOST_TEST(queue.take_next(start)->flow.client.port == 3);
+    BOOST_TEST(queue.take_next(start)->flow.client.port == 2);
+    BOOST_TEST(queue.take_expired(start + std::chrono::milliseconds(100)).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(service_time_is_measured_also_while_the_server_is_full)
+{
+    service_meter meter;
+    time_point now(std::chrono::seconds(1));
+    for (int i = 0; i < 200; ++i)
+    {
+        // Two slots, an answer each 25 ms: each request takes 50 ms.
+        now += std::chrono::milliseconds(25);
+        meter.note_answer(now, std::chrono::milliseconds(400), false, 3, 2);
+    }
+    BOOST_TEST(std::abs((meter.time() - std::chrono::milliseconds(50)).count()) < 2000);
+    // After a pause the pace of answers says nothing.
+    meter.note_answer(now, std::chrono::milliseconds(400), false, 1, 2);
+    const duration before = meter.time();
+    meter.note_answer(now + std::chrono::seconds(5), std::chrono::milliseconds(400), false, 2, 2);
+    BOOST_TEST((meter.time() == before));
+}
+
 BOOST_AUTO_TEST_CASE(openings_that_can_be_in_time_go_before_late_ones_and_urgent_ones_first)
 {
     opening_queue queue;
@@ -458,8 +593,8 @@
         opening.flow = {{client.address, port_number}, address};
         opening.give_up = start + std::chrono::seconds(1);
         opening.late_after = start + late_after;
-        opening.heard = start;
-        queue.add(priority, opening);
+        opening.gone_after = start + std::chrono::seconds(1);
+        queue.add(start, priority, opening);
     };
     add(1, 2, std::chrono::milliseconds(10)); // Will be late.
     add(2, 2, std::chrono::milliseconds(500));
--- /dev/null
+++ b/tests/unit/packet_balancer_test.cpp
@@ -0,0 +1,172 @@
+/** @file
+    Placing at a packet balancer, one decision at a time, and what waits for its first table.
+*/
+#include "packet_world_nodes.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+namespace carawayshelf::fakes
+{
+
+namespace
+{
+
+const endpoint own_data{0x0A010001, 7000};
+const endpoint address{0xC6120001, 443};
+
+endpoint agent_at(std::uint32_t number)
+{
+    return {0x0A000000 + number, 7000};
+}
+
+/** A balancer with a table of one route to one service, and a record of where it sends to. */
+struct balancer_bench
+{
+    balancer_bench()
+    {
+        port.on_envelope = [this](const endpoint& to, const packet_envelope& envelope,
+                                  const std::string& /*packet*/)
+        {
+            if (envelope.kind == packet_envelope_kind::packet)
+            {
+                ++sent[to];
+                candidates = envelope.candidate_count;
+            }
+        };
+        port.on_client_packet = [this](const std::string& /*packet*/)
+        {
+            ++resets;
+        };
+        packet_balancer::options own;
+        own.data = own_data;
+        own.domain = "cuyo-a";
+        core = std::make_unique<packet_balancer>(own, format, port, counters, observer);
+    }
+
+    void put_table(std::uint32_t agents)
+    {
+        traffic_configuration configuration;
+        configuration.version = 1;
+        configuration.services = {{"ordering", 0, 0.0}};
+        traffic_route route;
+        route.name = "orders";
+        route.address = address;
+        route.timeout_ms = 500;
+        route.target_latency_ms = 100;
+        route.shares = {{"ordering", 1}};
+        configuration.routes = {route};
+        generation last = 0;
+        state.apply(++last, replace_configuration{configuration});
+        for (std::uint32_t i = 1; i <= agents; ++i)
+        {
+            announce_member edit;
+            edit.name = std::to_string(i);
+            edit.domain = "cuyo-a";
+            edit.service = "ordering";
+            edit.data = agent_at(i);
+            edit.epoch = ++last;
+            edit.protocol = flow_protocol::packets;
+            edit.state = member_state::warm;
+            state.apply(++last, edit);
+        }
+        subscriber_table held;
+        held.apply(state.collect_update(0, ""));
+        table = packet_table(held, packet_table());
+    }
+
+    void send(std::uint16_t client_port, bool is_opening = true)
+    {
+        test_packets::layout packet;
+        packet.head.source = {0x64400001, client_port};
+        packet.head.destination = address;
+        packet.head.is_opening = is_opening;
+        core->take_packet(now, table, true, test_packets::encode(packet));
+    }
+
+    std::uint64_t sent_to_all() const
+    {
+        std::uint64_t sum = 0;
+        for (const auto& [to, count] : sent)
+        {
+            sum += count;
+        }
+        return sum;
+    }
+
+    time_point now{std::chrono::seconds(1000)};
+    test_packets format;
+    world_port port;
+    packet_counters counters;
+    quiet_observer observer;
+    cluster_state state;
+    packet_table table;
+    std::unique_ptr<packet_balancer> core;
+    std::map<endpoint, std::uint64_t> sent;
+    std::size_t candidates = 0;
+    std::uint64_t resets = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(packet_balancer_decisions)
+
+BOOST_AUTO_TEST_CASE(packets_that_come_before_the_first_table_are_sent_with_it)
+{
+    balancer_bench bench;
+    bench.send(2000);
+    bench.now += early_packets::kept_for / 2;
+    bench.send(2001);
+    bench.send(2002, false);
+    bench.now += early_packets::kept_for / 2;
+    BOOST_TEST(bench.sent_to_all() == 0U);
+    bench.put_table(3);
+    bench.core->release_early(bench.now, bench.table, true);
+    BOOST_TEST(bench.sent_to_all() == 2U);
+    BOOST_TEST(bench.resets == 0U);
+    BOOST_TEST(bench.counters.drops.get(packet_drop::no_table) == 1U);
+    BOOST_TEST(bench.counters.received.load() == 3U);
+    bench.core->release_early(bench.now, bench.table, true);
+    BOOST_TEST(bench.sent_to_all() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(what_waits_for_the_first_table_is_bounded_in_bytes)
+{
+    early_packets early;
+    const time_point now{std::chrono::seconds(1000)};
+    const std::string packet(1200, 'x');
+    std::size_t dropped = 0;
+    constexpr std::size_t sent = 2000;
+    for (std::size_t i = 0; i < sent; ++i)
+    {
+        dropped += early.keep(now, {}, packet);
+    }
+    std::size_t late = 0;
+    const std::size_t kept = early.take(now, late).size();
+    BOOST_TEST(late == 0U);
+    BOOST_TEST(kept + dropped == sent);
+    BOOST_TEST(kept * packet.size() <= early_packets::most_bytes);
+    BOOST_TEST(kept > 500U);
+    BOOST_TEST(early.is_empty());
+}
+
+BOOST_AUTO_TEST_CASE(new_flows_are_spread_before_the_first_load_reports)
+{
+    balancer_bench bench;
+    bench.put_table(7);
+    constexpr std::uint16_t flows = 70;
+    for (std::uint16_t i = 0; i < flows; ++i)
+    {
+        bench.send(static_cast<std::uint16_t>(2000 + i));
+    }
+    BOOST_TEST(bench.sent.size() == 7U);
+    for (const auto& [to, count] : bench.sent)
+    {
+        BOOST_TEST(count == flows / 7U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace carawayshelf::fakes
--- a/tests/unit/packet_history_test.cpp
+++ b/tests/unit/packet_history_test.cpp
@@ -43,6 +43,7 @@
         {36, packet_step_kind::advance},
         {4 * departures, packet_step_kind::join},
         {3 * departures, packet_step_kind::drain},
+        {departures, packet_step_kind::drain_and_restart_agent},
         {4 * departures, packet_step_kind::leave},
         {3, packet_step_kind::restart_agent},
         {3, packet_step_kind::restart_balancer},
@@ -104,7 +105,7 @@
         const char* name;
         broken_packet_rules broken;
     };
-    std::vector<rule_case> cases(5);
+    std::vector<rule_case> cases(6);
     cases[0].name = "agents know no others";
     cases[0].broken.others_unknown = true;
     cases[1].name = "departures hidden";
@@ -115,6 +116,8 @@
     cases[3].broken.packet_changed = true;
     cases[4].name = "wrong service served";
     cases[4].broken.wrong_service_served = true;
+    cases[5].name = "drain acknowledged before it is recorded";
+    cases[5].broken.drain_not_recorded = true;
     for (const rule_case& item : cases)
     {
         std::string violation;
--- a/tests/unit/storage_test.cpp
+++ b/tests/unit/storage_test.cpp
@@ -212,6 +212,28 @@
     BOOST_TEST(leases.collect_changes(start + std::chrono::seconds(8), state).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_report_older_than_its_members_last_change_does_not_undo_it)
+{
+    const time_point start{std::chrono::seconds(1000)};
+    cluster_state state;
+    announce_member edit{"agent-1", "cuyo-a", "ordering", {2, 2}, 1};
+    edit.state = member_state::warm;
+    const member_id member = state.apply(2, edit).member;
+    state.apply(5, set_member_state{member, member_state::draining});
+    lease_table leases(std::chrono::seconds(3));
+    leases.start(start);
+    daemon_report report;
+    report.name = "agent-1";
+    report.member = member;
+    report.state = member_state::warm;
+    report.held = 4;
+    leases.hear(start, report);
+    BOOST_TEST(leases.collect_changes(start, state).empty());
+    report.held = 5;
+    leases.hear(start, report);
+    BOOST_TEST(leases.collect_changes(start, state).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(an_agent_that_does_not_take_changes_in_is_not_renewed)
 {
     const time_point start{std::chrono::seconds(1000)};
