A search for a flow asks all members, however many a service has

A fault for every service of more than 24 servers; no test had more than 12.

- Beyond the envelope's candidates each agent passes the packet to the member that ranks next for the flow (flow_search).
The envelope carries a cursor instead of a list.
Members that changed since the oldest table on the way are asked again, since an earlier step may not have known them; silent ones come last.
Reset only when all are through.
- A new flow is placed among the eight members that rank first for it, so a balancer that has not heard of it asks those eight first.
The balancer now names those that don't report, and they are asked last.
- Third: five agents' departures were proposed once, while the core was cut, and lost; their members stayed until the lease ended.
They are proposed until control confirms them.

--- a/modules/carawayshelf_io/packet_agent_daemon.cpp
+++ b/modules/carawayshelf_io/packet_agent_daemon.cpp
@@ -20,7 +20,7 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds join_again(300);
+constexpr std::chrono::milliseconds try_again_after(300);
 
 /** The control side of a packet agent: its lease, its membership and its backend server's
     announcements. Runs on the io_context's one thread. */
@@ -40,7 +40,7 @@
           readiness_(io,
                      [this, &platform](const http_request& request, const http_responder& respond)
                      { platform.handle_readiness(table_.held() != 0, request, respond); }),
-          join_timer_(io)
+          again_timer_(io)
     {
     }
 
@@ -133,15 +133,15 @@
         client_.send_report();
     }
 
-    void join_later() override
+    void try_later() override
     {
-        join_timer_.expires_after(join_again);
-        join_timer_.async_wait(
+        again_timer_.expires_after(try_again_after);
+        again_timer_.async_wait(
             [this](const boost::system::error_code& failed)
             {
                 if (!failed)
                 {
-                    membership_.join();
+                    membership_.try_again();
                 }
             });
     }
@@ -196,7 +196,7 @@
     control_client client_;
     http_server desk_;
     http_server readiness_;
-    boost::asio::steady_timer join_timer_;
+    boost::asio::steady_timer again_timer_;
 };
 
 } // namespace
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -169,7 +169,10 @@
     void deliver(const packet_envelope& envelope, const client_packet& packet);
     void pass_on(time_point now, packet_envelope envelope, const packet_route& route,
                  const client_packet& packet, pass_reason why);
-    bool add_unvisited(packet_envelope& envelope, const packet_route& route, bool for_new) const;
+    endpoint next_candidate(packet_envelope& envelope) const;
+    void pass_opening_on(time_point now, packet_envelope envelope, const packet_route& route,
+                         const client_packet& packet);
+    bool add_unvisited(packet_envelope& envelope, const packet_route& route) const;
     void give_up(time_point now, const packet_envelope& envelope, const packet_head& head);
     bool is_table_fresh(time_point now) const;
     void note_dropped(packet_drop reason, const packet_envelope& envelope, const packet_head& head);
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -1,3 +1,4 @@
+#include "carawayshelf_packets/flow_search.hpp"
 #include "carawayshelf_packets/packet_agent.hpp"
 
 #include <algorithm>
@@ -178,64 +179,81 @@
     counters_.passes.add(why);
     note("passed", pass_reason_names.name(why), envelope, packet.head);
     envelope.held = std::max(envelope.held, table_->held());
-    const bool was_final = (envelope.flags & opening_flag_final) != 0;
-    ++envelope.position;
-    while (envelope.position < envelope.candidate_count &&
-           envelope.candidates[envelope.position] == own_.data)
+    if (packet.head.is_opening)
+    {
+        pass_opening_on(now, envelope, route, packet);
+        return;
+    }
+    endpoint next = next_candidate(envelope);
+    if (next.is_none())
     {
-        ++envelope.position;
+        next = next_holder(*table_, route, own_.data, hash_flow(packet.flow()), envelope);
     }
+    if (next.is_none())
+    {
+        give_up(now, envelope, packet.head);
+        return;
+    }
+    port_.send_envelope(next, envelope, packet.bytes());
+}
+
+/** Moves on to the envelope's next candidate; none when there is no other. */
+endpoint packet_agent::next_candidate(packet_envelope& envelope) const
+{
+    const int end = envelope.candidate_count - envelope.suspect_count;
+    do
+    {
+        envelope.position = static_cast<std::uint8_t>(std::min(envelope.position + 1, UINT8_MAX));
+    } while (envelope.position < end && envelope.candidates[envelope.position] == own_.data);
+    return envelope.position < end ? envelope.candidates[envelope.position] : endpoint{};
+}
+
+void packet_agent::pass_opening_on(time_point now, packet_envelope envelope,
+                                   const packet_route& route, const client_packet& packet)
+{
+    const bool was_final = (envelope.flags & opening_flag_final) != 0;
     const std::uint8_t best = envelope.flags & opening_best_bits;
-    if (was_final || envelope.position >= envelope.candidate_count)
+    endpoint next = next_candidate(envelope);
+    if (was_final || (next.is_none() && best == 0 && !add_unvisited(envelope, route)))
     {
-        if (packet.head.is_opening && best != 0 && !was_final)
-        {
-            // All are full: the least loaded one queues or refuses it.
-            envelope.flags |= opening_flag_final;
-            envelope.position = static_cast<std::uint8_t>(best - 1U);
-            if (envelope.candidates[envelope.position] == own_.data)
-            {
-                decide_opening(now, envelope, route, packet);
-                return;
-            }
-        }
-        else if (was_final || !add_unvisited(envelope, route, packet.head.is_opening))
-        {
-            give_up(now, envelope, packet.head);
-            return;
-        }
+        refuse(envelope, packet.head);
+        return;
     }
-    port_.send_envelope(envelope.candidates[envelope.position], envelope, packet.bytes());
+    if (next.is_none() && best != 0)
+    {
+        // All are full: the least loaded one queues or refuses it.
+        envelope.flags |= opening_flag_final;
+        envelope.position = static_cast<std::uint8_t>(best - 1U);
+    }
+    next = envelope.candidates[envelope.position];
+    if (next == own_.data)
+    {
+        decide_opening(now, envelope, route, packet);
+        return;
+    }
+    port_.send_envelope(next, envelope, packet.bytes());
 }
 
-bool packet_agent::add_unvisited(packet_envelope& envelope, const packet_route& route,
-                                 bool for_new) const
+/** Adds members that may take a new flow. Returns whether there were any. */
+bool packet_agent::add_unvisited(packet_envelope& envelope, const packet_route& route) const
 {
     const std::size_t before = envelope.candidate_count;
-    for (const bool silent : {false, true})
+    for (const std::uint32_t service : route.services)
     {
-        for (const std::uint32_t service : route.services)
+        for (const packet_member& who : table_->members_of(service))
         {
-            for (const packet_member& who : table_->members_of(service))
+            if (who.takes_new && who.data != own_.data && !envelope.has_candidate(who.data))
             {
-                const bool fits = who.is_silent == silent && (!for_new || who.takes_new);
-                if (fits && who.data != own_.data && !envelope.has_candidate(who.data))
-                {
-                    envelope.add_candidate(who.data);
-                }
+                envelope.add_candidate(who.data);
             }
         }
     }
     return envelope.candidate_count > before;
 }
 
+/** Every member that the own table names has returned a packet. */
 void packet_agent::give_up(time_point now, const packet_envelope& envelope, const packet_head& head)
 {
-    if (head.is_opening)
-    {
-        refuse(envelope, head);
-        return;
-    }
     const bool knows_all = is_table_fresh(now) && envelope.held <= table_->held();
     if (!knows_all || head.is_reset)
     {
--- a/modules/carawayshelf_packets/packet_balancer.cpp
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -16,6 +16,11 @@
 constexpr duration cold_cost = std::chrono::seconds(10);
 constexpr duration suspect_cost = std::chrono::seconds(100);
 
+/** A new flow goes to one of the members that rank first for it, however many the service has: few
+    enough that a balancer which has not heard of the flow asks only them, and enough that the less
+    loaded among them, in one's own failure domain, is nearly the least loaded of all. */
+constexpr std::size_t placed_among = 8;
+
 /** Candidates for a new flow: where the first can't take it, the others are asked in turn. */
 constexpr std::size_t most_placements = 4;
 
@@ -173,16 +178,40 @@
     {
         rank_members(now, table.members_of(service), flow_hash, false);
     }
-    add_ranked(envelope, max_candidates);
+    add_ranked(envelope, placed_among);
+    add_suspects(now, table, route, envelope);
+}
+
+/** Names those that don't report, so that nobody waits for them before the others are asked. */
+void packet_balancer::add_suspects(time_point now, const packet_table& table,
+                                   const packet_route& route, packet_envelope& envelope) const
+{
+    for (const std::uint32_t service : route.services)
+    {
+        for (const packet_member& who : table.members_of(service))
+        {
+            const bool is_suspect = who.is_silent || loads_.estimate(now, who.data).is_suspect;
+            if (is_suspect && envelope.add_candidate(who.data))
+            {
+                ++envelope.suspect_count;
+            }
+        }
+    }
+    if (envelope.suspect_count == envelope.candidate_count)
+    {
+        envelope.suspect_count = 0; // There is nobody else to ask first.
+    }
 }
 
 void packet_balancer::rank_members(time_point now, const std::vector<packet_member>& members,
                                    std::uint64_t flow_hash, bool for_new)
 {
+    const std::size_t already = ranked_.size();
     for (const packet_member& who : members)
     {
         const load_estimate estimate = loads_.estimate(now, who.data);
-        if (for_new && (!who.takes_new || estimate.is_closed))
+        const bool is_suspect = estimate.is_suspect || who.is_silent;
+        if (for_new ? !who.takes_new || estimate.is_closed : is_suspect)
         {
             continue;
         }
@@ -192,16 +221,24 @@
         ranked.cost = for_new ? estimate.expected : duration(0);
         ranked.cost += who.domain == own_.domain ? duration(0) : foreign_domain_cost;
         ranked.cost += for_new && estimate.is_cold ? cold_cost : duration(0);
-        ranked.cost += estimate.is_suspect || who.is_silent ? suspect_cost : duration(0);
+        ranked.cost += is_suspect ? suspect_cost : duration(0);
         ranked_.push_back(ranked);
     }
+    const auto first = ranked_.begin() + static_cast<std::ptrdiff_t>(already);
+    if (static_cast<std::size_t>(ranked_.end() - first) > placed_among)
+    {
+        std::nth_element(first, first + placed_among, ranked_.end(),
+                         [](const ranked_member& a, const ranked_member& b)
+                         { return a.rank > b.rank; });
+        ranked_.resize(already + placed_among);
+    }
 }
 
 void packet_balancer::add_ranked(packet_envelope& envelope, std::size_t most)
 {
     std::sort(ranked_.begin(), ranked_.end(),
               [](const ranked_member& a, const ranked_member& b)
-              { return a.cost != b.cost ? a.cost < b.cost : a.rank < b.rank; });
+              { return a.cost != b.cost ? a.cost < b.cost : a.rank > b.rank; });
     for (const ranked_member& ranked : ranked_)
     {
         if (envelope.candidate_count >= most)
--- a/modules/carawayshelf_packets/packet_balancer.hpp
+++ b/modules/carawayshelf_packets/packet_balancer.hpp
@@ -65,6 +65,9 @@
                const packet_head& head, packet_envelope& envelope);
     void search(time_point now, const packet_table& table, const packet_route& route,
                 packet_envelope& envelope);
+    void add_suspects(time_point now, const packet_table& table, const packet_route& route,
+                      packet_envelope& envelope) const;
+    /** Adds those of a service that rank first for a flow. */
     void rank_members(time_point now, const std::vector<packet_member>& members,
                       std::uint64_t flow_hash, bool for_new);
     void add_ranked(packet_envelope& envelope, std::size_t most);
--- a/modules/carawayshelf_packets/packet_table.cpp
+++ b/modules/carawayshelf_packets/packet_table.cpp
@@ -60,6 +60,7 @@
         packet_member added;
         added.data = who.data;
         added.domain = who.domain;
+        added.changed_at = who.changed_at;
         added.is_silent = who.state == member_state::silent;
         added.takes_new = !added.is_silent && who.state != member_state::draining &&
                           domains_out_.count(who.domain) == 0;
--- a/modules/carawayshelf_packets/packet_table.hpp
+++ b/modules/carawayshelf_packets/packet_table.hpp
@@ -18,6 +18,7 @@
     std::string domain;
     bool takes_new = false; ///< Its state and its failure domain allow new flows.
     bool is_silent = false;
+    generation changed_at = 0; ///< When it joined, or its state last changed.
 };
 
 /** A service's part of a route. */
--- a/modules/carawayshelf_packets/server_membership.cpp
+++ b/modules/carawayshelf_packets/server_membership.cpp
@@ -103,19 +103,37 @@
 {
     if (member_ != 0)
     {
-        port_.propose(retire_member{member_},
-                      [this, member = member_](error_kind error, const change_result& /*result*/)
-                      {
-                          if (error != error_kind::none)
-                          {
-                              port_.note("control did not confirm that member " +
-                                         std::to_string(member) + " left; its lease will end");
-                          }
-                      });
+        retire(member_);
     }
     forget_member();
 }
 
+void server_membership::retire(member_id member)
+{
+    leaving_.insert(member);
+    port_.propose(retire_member{member},
+                  [this, member](error_kind error, const change_result& /*result*/)
+                  {
+                      if (error == error_kind::none)
+                      {
+                          leaving_.erase(member);
+                          return;
+                      }
+                      port_.note("control did not confirm that member " + std::to_string(member) +
+                                 " left: tries again");
+                      port_.try_later();
+                  });
+}
+
+void server_membership::try_again()
+{
+    for (const member_id member : std::set<member_id>(leaving_))
+    {
+        retire(member);
+    }
+    join();
+}
+
 void server_membership::forget_member()
 {
     member_ = 0;
@@ -150,7 +168,7 @@
     if (error != error_kind::none || result.error != error_kind::none)
     {
         answer_draining(false);
-        port_.join_later();
+        port_.try_later();
         return;
     }
     member_ = result.member;
--- a/modules/carawayshelf_packets/server_membership.hpp
+++ b/modules/carawayshelf_packets/server_membership.hpp
@@ -5,6 +5,7 @@
 #include "carawayshelf_packets/server_announcement.hpp"
 
 #include <functional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,8 +27,8 @@
     /** Reports the state to control, soon. */
     virtual void report() = 0;
 
-    /** Asks for a call of server_membership::join() after a pause. */
-    virtual void join_later() = 0;
+    /** Asks for a call of server_membership::try_again() after a pause. */
+    virtual void try_later() = 0;
 
     /** A number that no earlier member had. */
     virtual std::uint64_t new_epoch() = 0;
@@ -65,8 +66,8 @@
     /** The gate has let the backend server go. */
     void take_departure(const std::string& id);
 
-    /** Joins, unless it is a member or no backend server is known. */
-    void join();
+    /** Tries again what control didn't confirm. */
+    void try_again();
 
     /** Joins anew when the table shows that it was retired. */
     void take_table(const subscriber_table& table);
@@ -80,6 +81,8 @@
     member_state state() const;
 
 private:
+    void join();
+    void retire(member_id member);
     void answer_when_recorded(const answer& done);
     void leave();
     void forget_member();
@@ -99,6 +102,7 @@
     bool is_draining_recorded_ = false;
     member_id member_ = 0;
     generation joined_at_ = 0;
+    std::set<member_id> leaving_; ///< Members that control has not confirmed to have left.
     std::vector<answer> waiting_; ///< Announcements of draining that are not recorded yet.
 };
 
--- a/modules/carawayshelf_wire/packet_envelope.hpp
+++ b/modules/carawayshelf_wire/packet_envelope.hpp
@@ -24,8 +24,20 @@
 inline constexpr name_table<packet_envelope_kind, 4> packet_envelope_kind_names{
     {"packet", "holder", "load", "watching"}};
 
-/** Agents that one packet visits at most: those of the largest service with room to spare. */
-constexpr std::size_t max_candidates = 24;
+/** Agents that an envelope names: those where a flow is looked for first, or may be placed. */
+constexpr std::size_t max_candidates = 16;
+
+/** How far the search for a flow has got beyond the candidates. */
+enum class walk_phase : std::uint8_t
+{
+    none,    ///< Only the candidates have been asked.
+    members, ///< The route's members, in the order of their ranks.
+    changed, ///< Those that changed since a table that an earlier step went by.
+    silent   ///< Those that control doesn't hear.
+};
+
+inline constexpr name_table<walk_phase, 4> walk_phase_names{
+    {"none", "members", "changed", "silent"}};
 
 /** Bits of packet_envelope::flags in a load report. */
 constexpr std::uint8_t load_flag_closed = 1; ///< Takes no new flow.
@@ -55,12 +67,20 @@
     std::uint8_t flags = 0;
     std::uint8_t position = 0; ///< Candidates before this one have returned the packet.
     std::uint8_t candidate_count = 0;
+    std::uint8_t suspect_count = 0; ///< The last candidates; a search asks them at last.
     std::array<endpoint, max_candidates> candidates{}; ///< Agents to visit, in this order.
+    walk_phase phase = walk_phase::none;
+    std::uint64_t cursor = 0; ///< Rank of the member asked last; those above it have been asked.
+    generation since = 0;     ///< In the phase changed: members that changed after it are asked.
+    generation oldest = 0;    ///< Oldest table that a step of this phase went by.
 
     /** Adds a candidate. Returns false when there is no room. */
     bool add_candidate(const endpoint& agent);
 
     bool has_candidate(const endpoint& agent) const;
+
+    /** Whether an agent is among the candidates that are likely not to answer. */
+    bool has_suspect(const endpoint& agent) const;
 };
 
 /** Longest header. */
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -403,6 +403,51 @@
     BOOST_TEST(returned.head.mark != 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_flow_is_not_reset_before_all_of_many_members_have_returned_it)
+{
+    agent_bench bench;
+    constexpr std::uint32_t members = 42;
+    bench.put_configuration("ordering");
+    for (std::uint32_t i = 0; i < members; ++i)
+    {
+        bench.add_member({own_data.address + i, own_data.port});
+    }
+    bench.publish();
+    bench.announce();
+    // As a balancer that knows nothing of the flow names them.
+    std::vector<endpoint> candidates;
+    for (std::uint32_t i = 1; i < 8; ++i)
+    {
+        candidates.push_back({own_data.address + i, own_data.port});
+    }
+    candidates.push_back(own_data);
+    packet_envelope envelope;
+    envelope.balancer = balancer_data;
+    for (const endpoint& candidate : candidates)
+    {
+        envelope.add_candidate(candidate);
+    }
+    envelope.position = 7;
+    std::string bytes = test_packets::encode(bench.packet_of(2000, false));
+    bench.core->take_envelope(bench.now, envelope, bytes.data(), bytes.size());
+    // This agent stands in for each member that is asked.
+    std::size_t asked = 8;
+    while (!bench.was_reset())
+    {
+        BOOST_REQUIRE(asked <= members);
+        const std::size_t sent = bench.envelopes.size();
+        bench.return_last();
+        if (bench.envelopes.size() > sent)
+        {
+            ++asked;
+            sent_envelope next = bench.envelopes.back();
+            bench.core->take_envelope(bench.now, next.envelope, next.packet.data(),
+                                      next.packet.size());
+        }
+    }
+    BOOST_TEST(asked == members);
+}
+
 BOOST_AUTO_TEST_CASE(a_flow_is_not_reset_by_a_table_that_may_be_too_old)
 {
     agent_bench bench;
--- a/tests/unit/packet_balancer_test.cpp
+++ b/tests/unit/packet_balancer_test.cpp
@@ -32,7 +32,7 @@
             if (envelope.kind == packet_envelope_kind::packet)
             {
                 ++sent[to];
-                candidates = envelope.candidate_count;
+                last = envelope;
             }
         };
         port.on_client_packet = [this](const std::string& /*packet*/)
@@ -57,8 +57,8 @@
         route.target_latency_ms = 100;
         route.shares = {{"ordering", 1}};
         configuration.routes = {route};
-        generation last = 0;
-        state.apply(++last, replace_configuration{configuration});
+        generation made = 0;
+        state.apply(++made, replace_configuration{configuration});
         for (std::uint32_t i = 1; i <= agents; ++i)
         {
             announce_member edit;
@@ -66,10 +66,10 @@
             edit.domain = "cuyo-a";
             edit.service = "ordering";
             edit.data = agent_at(i);
-            edit.epoch = ++last;
+            edit.epoch = ++made;
             edit.protocol = flow_protocol::packets;
             edit.state = member_state::warm;
-            state.apply(++last, edit);
+            state.apply(++made, edit);
         }
         subscriber_table held;
         held.apply(state.collect_update(0, ""));
@@ -104,7 +104,7 @@
     packet_table table;
     std::unique_ptr<packet_balancer> core;
     std::map<endpoint, std::uint64_t> sent;
-    std::size_t candidates = 0;
+    packet_envelope last; ///< Sent last, with a packet.
     std::uint64_t resets = 0;
 };
 
@@ -151,6 +151,53 @@
     BOOST_TEST(early.is_empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_flow_is_looked_for_first_at_those_that_report)
+{
+    balancer_bench bench;
+    bench.put_table(30);
+    // All but two report their load.
+    for (std::uint32_t i = 1; i <= 30; ++i)
+    {
+        packet_envelope report;
+        report.kind = packet_envelope_kind::load;
+        report.slots = 2;
+        bench.core->take_envelope(bench.now, report, agent_at(i));
+    }
+    bench.now += load_board::suspect_after * 2;
+    for (std::uint32_t i = 3; i <= 30; ++i)
+    {
+        packet_envelope report;
+        report.kind = packet_envelope_kind::load;
+        report.slots = 2;
+        bench.core->take_envelope(bench.now, report, agent_at(i));
+    }
+    for (std::uint16_t i = 0; i < 50; ++i)
+    {
+        bench.send(static_cast<std::uint16_t>(2000 + i), false);
+        BOOST_TEST(bench.last.suspect_count == 2U);
+        BOOST_TEST(bench.last.has_suspect(agent_at(1)));
+        BOOST_TEST(bench.last.has_suspect(agent_at(2)));
+        BOOST_TEST(bench.last.candidate_count == 10U);
+    }
+    BOOST_TEST(bench.sent.count(agent_at(1)) == 0U);
+    BOOST_TEST(bench.sent.count(agent_at(2)) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_flow_is_placed_where_it_is_looked_for_first)
+{
+    balancer_bench bench;
+    bench.put_table(42);
+    balancer_bench other; // Has not heard of the flows.
+    other.put_table(42);
+    for (std::uint16_t i = 0; i < 100; ++i)
+    {
+        bench.sent.clear();
+        bench.send(static_cast<std::uint16_t>(2000 + i));
+        other.send(static_cast<std::uint16_t>(2000 + i), false);
+        BOOST_TEST(other.last.has_candidate(bench.sent.begin()->first));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(new_flows_are_spread_before_the_first_load_reports)
 {
     balancer_bench bench;
--- a/tests/unit/server_membership_test.cpp
+++ b/tests/unit/server_membership_test.cpp
@@ -28,7 +28,7 @@
         ++reports;
     }
 
-    void join_later() override
+    void try_later() override
     {
         ++pauses;
     }
@@ -170,6 +170,20 @@
     BOOST_TEST(bench.port.proposed.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_departure_that_control_did_not_confirm_is_proposed_again)
+{
+    membership_bench bench;
+    bench.join();
+    bench.membership.take_departure("server");
+    bench.port.answer(error_kind::no_leader);
+    BOOST_TEST(bench.port.pauses == 1);
+    bench.membership.try_again();
+    BOOST_TEST(bench.port.next<retire_member>().member == 7U);
+    bench.port.answer();
+    bench.membership.try_again();
+    BOOST_TEST(bench.port.proposed.empty());
+}
+
 BOOST_AUTO_TEST_CASE(another_service_is_another_member)
 {
     membership_bench bench;
@@ -197,7 +211,7 @@
     bench.announce("server");
     bench.port.answer(error_kind::no_leader);
     BOOST_TEST(bench.port.pauses == 1);
-    bench.membership.join();
+    bench.membership.try_again();
     BOOST_TEST(bench.port.proposed.size() == 1U);
 }
 
