--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -245,6 +245,10 @@
         known->second.heard = now();
     }
     peers_.hear(now(), connection.get());
+    if (received.forwarded_reply) // Its caller waits, whatever this instance can store.
+    {
+        handle_forwarded_reply(std::move(received.forwarded_reply));
+    }
     if (!is_storing_)
     {
         return;
@@ -313,10 +317,6 @@
                                   "the leader has just changed"));
         }
     }
-    if (received.forwarded_reply)
-    {
-        handle_forwarded_reply(std::move(received.forwarded_reply));
-    }
     schedule_pump();
 }
 
--- a/tests/unit/control_front_test.cpp
+++ b/tests/unit/control_front_test.cpp
@@ -15,6 +15,7 @@
 
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <functional>
 
 namespace carawayshelf
@@ -115,6 +116,29 @@
         return false;
     }
 
+    /** The instance that leads. */
+    std::size_t leader()
+    {
+        std::size_t found = 0;
+        BOOST_REQUIRE(run_until(
+            [this, &found]
+            {
+                for (std::size_t i = 0; i < servers.size(); ++i)
+                {
+                    for (const metric_sample& sample : servers[i]->samples())
+                    {
+                        if (sample.metric == "control_is_leader" && sample.value == 1.0)
+                        {
+                            found = i;
+                            return true;
+                        }
+                    }
+                }
+                return false;
+            }));
+        return found;
+    }
+
     order_outcome read(std::size_t at)
     {
         order_outcome outcome;
@@ -216,6 +240,33 @@
     BOOST_TEST(all.read(1).content == "three");
 }
 
+BOOST_AUTO_TEST_CASE(an_instance_whose_disk_fails_still_answers_what_it_had_forwarded)
+{
+    cluster all;
+    BOOST_TEST(all.replace_until_accepted(0, 1, "one"));
+    const std::size_t leader = all.leader();
+    const std::size_t follower = (leader + 1) % 3;
+    // Its next snapshot fails, while the orders that it forwarded are on their way.
+    std::filesystem::remove_all(all.all_settings[follower].data_folder);
+    std::ofstream(all.all_settings[follower].data_folder) << "not a folder";
+    constexpr std::size_t orders = 50;
+    std::size_t answered = 0;
+    for (std::size_t i = 0; i < orders; ++i)
+    {
+        traffic_configuration configuration;
+        configuration.version = 2 + i;
+        configuration.content = std::string(std::size_t{1} << 18U, 'x');
+        all.servers[follower]->replace(configuration,
+                                       [&answered](const order_outcome& /*given*/) { ++answered; });
+    }
+    const time_point start =
+        std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+    BOOST_TEST(all.run_until([&answered] { return answered == orders; }));
+    // None of them has waited for its timeout of 5 s.
+    BOOST_TEST((std::chrono::steady_clock::now() - start < std::chrono::seconds(4)));
+    std::filesystem::remove(all.all_settings[follower].data_folder);
+}
+
 BOOST_AUTO_TEST_CASE(large_configurations_neither_fill_the_disk_nor_the_memory)
 {
     cluster all;
