--- a/modules/carawayshelf_io/agent_traffic.cpp
+++ b/modules/carawayshelf_io/agent_traffic.cpp
@@ -1,6 +1,7 @@
 #include "carawayshelf_io/agent_traffic.hpp"
 
 #include "carawayshelf_io/json_log.hpp"
+#include "carawayshelf_io/steady_time.hpp"
 
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -51,11 +52,6 @@
     stop();
 }
 
-time_point agent_traffic::now()
-{
-    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
-}
-
 void agent_traffic::make_core()
 {
     core_ = std::make_unique<agent_core>(agent_settings{}, random_secret(), *this, counters_);
@@ -85,7 +81,7 @@
     is_server_up_ = true;
     service_ = seal.service;
     self_ = seal.member;
-    core_->restore(now(), seal);
+    core_->restore(steady_now(), seal);
     for (const sealed_flow& value : seal.flows)
     {
         if (value.local_port == 0)
@@ -119,7 +115,7 @@
     {
         return;
     }
-    agent_seal sealed = core_->seal(now());
+    agent_seal sealed = core_->seal(steady_now());
     sealed.server = desk_.server();
     for (sealed_flow& value : sealed.flows)
     {
@@ -158,7 +154,7 @@
             table_ = table;
             service_ = service;
             self_ = self;
-            core_->take_table(now(), *table, service, self);
+            core_->take_table(steady_now(), *table, service, self);
             held_ = table->held();
         });
 }
@@ -174,11 +170,11 @@
             core_->set_draining(is_draining_);
             if (table_)
             {
-                core_->take_table(now(), *table_, service_, self_);
+                core_->take_table(steady_now(), *table_, service_, self_);
             }
             if (is_server_up_)
             {
-                core_->server_started(now());
+                core_->server_started(steady_now());
             }
         });
 }
@@ -211,7 +207,7 @@
         {
             handle_event(events[static_cast<std::size_t>(i)].data.fd);
         }
-        const time_point instant = now();
+        const time_point instant = steady_now();
         core_->tick(instant);
         flush_envelopes();
         publish_snapshot(instant);
@@ -258,7 +254,7 @@
         core_->balancer_gone(closed);
     }
     const std::size_t count = received_.receive(data_socket_.get());
-    const time_point instant = now();
+    const time_point instant = steady_now();
     for (std::size_t i = 0; i < count; ++i)
     {
         const std::string_view bytes = received_.datagram(i);
@@ -292,7 +288,7 @@
             flow_of_socket_.clear();
             is_server_up_ = true;
             is_draining_ = false;
-            core_->server_started(now());
+            core_->server_started(steady_now());
         }
         if (event == registration_event::leaving)
         {
@@ -331,11 +327,12 @@
             {
                 log_warning("the backend server's port is closed");
                 is_server_up_ = false;
-                core_->server_down(now());
+                core_->server_down(steady_now());
             }
             return;
         }
-        core_->receive_from_server(now(), key, {buffer.data(), static_cast<std::size_t>(size)});
+        core_->receive_from_server(steady_now(), key,
+                                   {buffer.data(), static_cast<std::size_t>(size)});
     }
 }
 
--- a/modules/carawayshelf_io/agent_traffic.hpp
+++ b/modules/carawayshelf_io/agent_traffic.hpp
@@ -90,7 +90,6 @@
     void publish_snapshot(time_point now);
     void make_core();
     void seal_if_quiet();
-    static time_point now();
 
     agent_daemon_settings settings_;
     agent_counters& counters_;
--- a/modules/carawayshelf_io/control_client.cpp
+++ b/modules/carawayshelf_io/control_client.cpp
@@ -1,6 +1,7 @@
 #include "carawayshelf_io/control_client.hpp"
 
 #include "carawayshelf_io/json_log.hpp"
+#include "carawayshelf_io/steady_time.hpp"
 
 #include <algorithm>
 #include <random>
@@ -24,11 +25,6 @@
 /** A control instance without touch to a leader for this long is given up: several elections. */
 constexpr duration unconfirmed_limit = std::chrono::milliseconds(1500);
 
-time_point now()
-{
-    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
-}
-
 } // namespace
 
 control_client::control_client(boost::asio::io_context& io, std::vector<endpoint> instances,
@@ -103,8 +99,8 @@
 void control_client::on_connected(boost::asio::ip::tcp::socket socket)
 {
     connection_ = std::make_shared<frame_connection>(std::move(socket));
-    heard_ = now();
-    confirmed_ = now();
+    heard_ = steady_now();
+    confirmed_ = steady_now();
     connection_->start([this](frame& received) { handle_frame(received); },
                        [this](const failure& why)
                        {
@@ -140,10 +136,10 @@
 
 void control_client::handle_frame(frame& received)
 {
-    heard_ = now();
+    heard_ = steady_now();
     if (received.probe && received.probe->is_confirmed)
     {
-        confirmed_ = now();
+        confirmed_ = steady_now();
         if (on_confirmed_)
         {
             on_confirmed_();
@@ -197,7 +193,8 @@
 
 void control_client::drop_if_silent()
 {
-    if (connection_ && (now() - heard_ > silent_limit || now() - confirmed_ > unconfirmed_limit))
+    if (connection_ &&
+        (steady_now() - heard_ > silent_limit || steady_now() - confirmed_ > unconfirmed_limit))
     {
         const std::shared_ptr<frame_connection> silent = connection_;
         silent->close(
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -1,7 +1,7 @@
 #include "carawayshelf_io/control_server.hpp"
 
-#include "carawayshelf_catalogue/entry_validation.hpp"
 #include "carawayshelf_io/json_log.hpp"
+#include "carawayshelf_io/steady_time.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -44,11 +44,6 @@
 {
 }
 
-time_point control_server::now()
-{
-    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
-}
-
 failure control_server::start()
 {
     if (failure failed = found_cluster_if_first())
@@ -138,7 +133,8 @@
              std::to_string(stored.hard.term));
     state_ = std::move(loaded);
     renewal_.hear(settings_.slot, stored.identity);
-    core_ = std::make_unique<consensus_core>(consensus_settings{}, stored, random_seed(), now());
+    core_ =
+        std::make_unique<consensus_core>(consensus_settings{}, stored, random_seed(), steady_now());
     is_storing_ = true;
     has_been_current_ = false;
     return {};
@@ -157,16 +153,16 @@
                                    "this instance can't store anything at present"));
     }
     was_leader_ = false;
-    storage_retry_at_ = now() + storage_retry_interval;
+    storage_retry_at_ = steady_now() + storage_retry_interval;
 }
 
 void control_server::resume_storage()
 {
-    if (is_storing_ || now() < storage_retry_at_)
+    if (is_storing_ || steady_now() < storage_retry_at_)
     {
         return;
     }
-    storage_retry_at_ = now() + storage_retry_interval;
+    storage_retry_at_ = steady_now() + storage_retry_interval;
     if (const failure failed = load_store())
     {
         log_warning("storage still fails: " + failed.message());
@@ -200,7 +196,7 @@
 
 void control_server::start_connection(const connection_pointer& connection)
 {
-    connections_[connection.get()] = {connection, now()};
+    connections_[connection.get()] = {connection, steady_now()};
     const std::weak_ptr<frame_connection> weak = connection;
     connection->start(
         [this, weak](frame& received)
@@ -242,9 +238,9 @@
     const auto known = connections_.find(connection.get());
     if (known != connections_.end())
     {
-        known->second.heard = now();
+        known->second.heard = steady_now();
     }
-    peers_.hear(now(), connection.get());
+    peers_.hear(steady_now(), connection.get());
     if (received.forwarded_reply) // Its caller waits, whatever this instance can store.
     {
         handle_forwarded_reply(std::move(received.forwarded_reply));
@@ -261,7 +257,7 @@
     {
         if (const std::optional<message> unpacked = unpack_message(*received.consensus))
         {
-            core_->receive(now(), *unpacked);
+            core_->receive(steady_now(), *unpacked);
         }
     }
     if (received.hello)
@@ -276,7 +272,7 @@
     {
         for (const std::unique_ptr<buffers::daemon_lease_object>& lease : received.digest->leases)
         {
-            leases_.hear(now(), unpack_report(*lease));
+            leases_.hear(steady_now(), unpack_report(*lease));
         }
     }
     if (received.subscription && received.subscription->lease)
@@ -320,31 +316,6 @@
     schedule_pump();
 }
 
-void control_server::handle_parcels(const connection_pointer& connection, const frame& received)
-{
-    if (!received.park && !received.claim)
-    {
-        return;
-    }
-    frame answer;
-    answer.claimed = std::make_unique<buffers::parcel_object>();
-    if (received.park)
-    {
-        const std::vector<std::uint8_t>& content = received.park->content;
-        if (!parked_.park(now(), received.park->name, {content.begin(), content.end()}))
-        {
-            log_warning("no room to park the state of " + received.park->name);
-            return;
-        }
-    }
-    if (received.claim)
-    {
-        const std::string content = parked_.claim(now(), received.claim->name);
-        answer.claimed->content.assign(content.begin(), content.end());
-    }
-    connection->send(answer);
-}
-
 void control_server::maintain_peers()
 {
     for (std::size_t i = 0; i < settings_.peers.size(); ++i)
@@ -360,11 +331,11 @@
     {
         learn_peer(slot);
     }
-    peers_.maintain(now());
+    peers_.maintain(steady_now());
     std::vector<connection_pointer> idle;
     for (const auto& [key, item] : connections_)
     {
-        if (now() - item.heard > idle_connection_limit)
+        if (steady_now() - item.heard > idle_connection_limit)
         {
             idle.push_back(item.connection);
         }
@@ -377,19 +348,26 @@
 
 void control_server::learn_peer(instance_slot slot)
 {
-    if (settings_.finds_peers)
+    const endpoint address = address_of(slot);
+    if (!address.is_none())
     {
-        peers_.learn(now(), slot, {slot, settings_.address.port});
+        peers_.learn(steady_now(), slot, address);
     }
-    else if (slot >= 1 && slot <= settings_.peers.size())
+}
+
+/** Where the instance of a slot listens; none when the settings don't list the slot. */
+endpoint control_server::address_of(instance_slot slot) const
+{
+    if (settings_.finds_peers)
     {
-        peers_.learn(now(), slot, settings_.peers[slot - 1U]);
+        return {slot, settings_.address.port};
     }
+    return slot >= 1 && slot <= settings_.peers.size() ? settings_.peers[slot - 1U] : endpoint{};
 }
 
 bool control_server::is_confirmed() const
 {
-    return is_storing_ && core_->is_current(now());
+    return is_storing_ && core_->is_current(steady_now());
 }
 
 void control_server::answer_probe(const connection_pointer& connection, std::uint64_t number)
@@ -452,254 +430,6 @@
     }
 }
 
-void control_server::handle_request(const buffers::request_object& request, reply_handler done)
-{
-    if (request.kind >= request_kind_names.size())
-    {
-        done(make_error_reply(request.number, error_kind::malformed_frame, "unknown request"));
-        return;
-    }
-    if (!is_storing_)
-    {
-        done(make_error_reply(request.number, error_kind::no_leader,
-                              "this instance can't store anything at present"));
-        return;
-    }
-    if (static_cast<request_kind>(request.kind) == request_kind::bootstrap)
-    {
-        bootstrap(request, done);
-        return;
-    }
-    if (core_->role() == consensus_role::leader)
-    {
-        lead_request(request, std::move(done));
-        return;
-    }
-    forward(request, std::move(done));
-}
-
-void control_server::bootstrap(const buffers::request_object& request, const reply_handler& done)
-{
-    if (!core_->bootstrap(now()))
-    {
-        done(make_error_reply(request.number, error_kind::usage,
-                              "this instance belongs to a cluster already; 'control init' is for "
-                              "the first start only, see the runbook"));
-        return;
-    }
-    log_info("started a new cluster with this instance as its first voter");
-    reply_pointer reply = std::make_unique<buffers::reply_object>();
-    reply->number = request.number;
-    done(std::move(reply));
-}
-
-void control_server::forward(const buffers::request_object& request, reply_handler done)
-{
-    const connection_pointer leader =
-        core_->leader() == 0 ? nullptr : connection_of(core_->leader());
-    if (!leader)
-    {
-        ++counters_.no_leader;
-        done(make_error_reply(request.number, error_kind::no_leader, ""));
-        return;
-    }
-    ++counters_.forwarded;
-    const std::uint64_t number = ++last_forwarded_;
-    forwarded_[number] = {request.number, std::move(done), now(), leader};
-    frame sent;
-    sent.forwarded_request = std::make_unique<buffers::request_object>();
-    buffers::request_object& copy = *sent.forwarded_request;
-    copy.number = number;
-    copy.kind = request.kind;
-    copy.name = request.name;
-    copy.generation = request.generation;
-    if (request.proposed)
-    {
-        if (const std::optional<change> edit = unpack_change(*request.proposed))
-        {
-            copy.proposed = pack_change(*edit);
-        }
-    }
-    leader->send(sent);
-}
-
-void control_server::handle_forwarded_reply(reply_pointer reply)
-{
-    const auto found = forwarded_.find(reply->number);
-    if (found == forwarded_.end())
-    {
-        return;
-    }
-    reply->number = found->second.number;
-    const reply_handler done = std::move(found->second.done);
-    forwarded_.erase(found);
-    done(std::move(reply));
-}
-
-void control_server::fail_forwarded(const std::function<bool(const pending_request&)>& picks,
-                                    const char* why)
-{
-    std::vector<pending_request> failed;
-    for (auto item = forwarded_.begin(); item != forwarded_.end();)
-    {
-        if (picks(item->second))
-        {
-            failed.push_back(std::move(item->second));
-            item = forwarded_.erase(item);
-        }
-        else
-        {
-            ++item;
-        }
-    }
-    for (const pending_request& request : failed)
-    {
-        ++counters_.not_confirmed;
-        request.done(make_error_reply(request.number, error_kind::not_confirmed, why));
-    }
-}
-
-void control_server::lead_request(const buffers::request_object& request, reply_handler done)
-{
-    if (static_cast<request_kind>(request.kind) == request_kind::propose)
-    {
-        propose(request, std::move(done));
-        return;
-    }
-    pending_read read;
-    read.request.number = request.number;
-    read.request.kind = request.kind;
-    read.request.name = request.name;
-    read.request.generation = request.generation;
-    read.done = std::move(done);
-    const read_ticket ticket = core_->request_read(now());
-    reads_[ticket] = std::move(read);
-    schedule_pump();
-}
-
-void control_server::propose(const buffers::request_object& request, reply_handler done)
-{
-    const std::optional<change> edit =
-        request.proposed ? unpack_change(*request.proposed) : std::optional<change>();
-    if (!edit)
-    {
-        done(make_error_reply(request.number, error_kind::malformed_frame, "no change given"));
-        return;
-    }
-    propose_change(*edit, request.number, std::move(done));
-}
-
-void control_server::propose_change(const change& edit, std::uint64_t number, reply_handler done)
-{
-    const std::optional<log_index> index = core_->propose(now(), encode_change(edit));
-    if (!index)
-    {
-        ++counters_.no_leader;
-        if (done)
-        {
-            done(make_error_reply(number, error_kind::no_leader, ""));
-        }
-        return;
-    }
-    proposals_[*index] = {core_->term(), number, std::move(done)};
-    schedule_pump();
-}
-
-control_server::reply_pointer control_server::read_reply(const buffers::request_object& request)
-{
-    reply_pointer reply = std::make_unique<buffers::reply_object>();
-    reply->number = request.number;
-    reply->generation = state_.data().held;
-    switch (static_cast<request_kind>(request.kind))
-    {
-    case request_kind::get_service:
-    {
-        reply->version = state_.version_of(request.name);
-        const service_state* service = state_.find_service(request.name);
-        if (service == nullptr)
-        {
-            reply->error = static_cast<std::uint8_t>(error_kind::unknown_service);
-            reply->detail = "service '" + request.name + "' does not exist; to create it, put it " +
-                            "with --expect=" + std::to_string(reply->version);
-            break;
-        }
-        reply->services.push_back(pack_service(*service, false));
-        break;
-    }
-    case request_kind::list_services:
-        for (const auto& [name, service] : state_.data().services)
-        {
-            reply->services.push_back(pack_service(service, false));
-        }
-        break;
-    case request_kind::list_domains:
-        for (const auto& [name, domain] : state_.data().domains)
-        {
-            reply->domains.push_back(pack_domain(name, domain));
-        }
-        break;
-    case request_kind::wait_for:
-        reply->lagging = leases_.lagging(now(), request.generation);
-        break;
-    case request_kind::status:
-        reply->state = std::make_unique<buffers::status_object>();
-        fill_status(*reply->state);
-        break;
-    case request_kind::get_configuration:
-    {
-        const cluster_state::contents& data = state_.data();
-        reply->version = data.configuration.version;
-        reply->content.assign(data.configuration.content.begin(), data.configuration.content.end());
-        if (data.configuration_changed_at == 0)
-        {
-            reply->error = static_cast<std::uint8_t>(error_kind::unknown_service);
-            reply->detail = "there is no configuration yet: send one";
-        }
-        break;
-    }
-    case request_kind::propose:
-    case request_kind::bootstrap:
-        break;
-    }
-    return reply;
-}
-
-void control_server::fill_status(buffers::status_object& status)
-{
-    status.term = core_->term();
-    status.generation = state_.data().held;
-    status.safe_to_lose_one = renewal_.is_safe_to_lose_one(now(), *core_);
-    const std::vector<instance_id> live = core_->live_voters(now());
-    for (const instance_id voter : core_->log().voters())
-    {
-        std::unique_ptr<buffers::instance_status_object> instance =
-            std::make_unique<buffers::instance_status_object>();
-        instance->identity = voter;
-        instance->slot = slot_of(voter);
-        instance->voter = true;
-        instance->live = std::find(live.begin(), live.end(), voter) != live.end();
-        instance->leader = voter == core_->identity();
-        instance->match = instance->leader ? core_->log().last_index() : core_->match_of(voter);
-        status.instances.push_back(std::move(instance));
-    }
-    for (const daemon_report& report : leases_.live(now()))
-    {
-        status.daemons.push_back(pack_report(report));
-    }
-    for (const auto& [id, who] : state_.data().members)
-    {
-        status.members.push_back(pack_member(who));
-    }
-    for (const auto& [name, service] : state_.data().services)
-    {
-        status.services.push_back(pack_service(service, true));
-    }
-    for (const auto& [name, domain] : state_.data().domains)
-    {
-        status.domains.push_back(pack_domain(name, domain));
-    }
-}
-
 void control_server::schedule_pump()
 {
     if (is_pump_scheduled_)
@@ -729,7 +459,7 @@
             suspend_storage(failed);
             return;
         }
-        core_->persisted(now());
+        core_->persisted(steady_now());
         for (const message& value : output.messages)
         {
             send_message(value);
@@ -769,7 +499,7 @@
     if (is_leader && !was_leader_)
     {
         log_info("leads term " + std::to_string(core_->term()));
-        leases_.start(now());
+        leases_.start(steady_now());
     }
     if (!is_leader && was_leader_)
     {
@@ -837,46 +567,6 @@
     finish_proposal(record, result);
 }
 
-void control_server::finish_proposal(const log_record& record, const change_result& result)
-{
-    auto found = proposals_.extract(record.index);
-    if (!found)
-    {
-        return;
-    }
-    pending_proposal& proposal = found.mapped();
-    if (!proposal.done)
-    {
-        return;
-    }
-    if (proposal.term != record.term)
-    {
-        ++counters_.not_confirmed;
-        proposal.done(make_error_reply(proposal.number, error_kind::not_confirmed,
-                                       "another leader took over"));
-        return;
-    }
-    ++(result.error == error_kind::none ? counters_.accepted : counters_.refused);
-    reply_pointer reply = std::make_unique<buffers::reply_object>();
-    reply->number = proposal.number;
-    reply->generation = record.index;
-    reply->result = pack_result(result);
-    proposal.done(std::move(reply));
-}
-
-void control_server::fail_proposals_after_leadership()
-{
-    for (const auto& [index, proposal] : std::exchange(proposals_, {}))
-    {
-        if (proposal.done)
-        {
-            ++counters_.not_confirmed;
-            proposal.done(make_error_reply(proposal.number, error_kind::not_confirmed,
-                                           "the leader stepped down before a majority had it"));
-        }
-    }
-}
-
 void control_server::take_snapshot_if_due()
 {
     const log_index applied = core_->commit_index();
@@ -905,10 +595,10 @@
 void control_server::on_timer()
 {
     resume_storage();
-    peers_.connect_missing(now());
+    peers_.connect_missing(steady_now());
     if (is_storing_)
     {
-        core_->tick(now());
+        core_->tick(steady_now());
         pump();
     }
     if (is_update_due_)
@@ -929,7 +619,7 @@
 
 void control_server::on_lease_timer()
 {
-    const time_point instant = now();
+    const time_point instant = steady_now();
     maintain_peers();
     fail_forwarded([instant](const pending_request& request)
                    { return instant - request.asked >= request_timeout; },
@@ -979,150 +669,6 @@
         });
 }
 
-void control_server::handle_subscription(const connection_pointer& connection,
-                                         const buffers::subscribe_object& subscription)
-{
-    subscriber& added = subscribers_[connection.get()];
-    added.connection = connection;
-    added.report = unpack_report(*subscription.lease);
-    added.service = subscription.service;
-    added.sent = 0;
-    added.heard = now();
-    // A daemon that is ahead of this instance keeps what it has.
-    if (added.report.held != 0 && added.report.held >= state_.data().horizon)
-    {
-        added.sent = added.report.held;
-    }
-    send_update(added);
-    encoded_.clear();
-}
-
-void control_server::handle_report(const connection_pointer& connection,
-                                   const buffers::daemon_lease_object& packed)
-{
-    const auto found = subscribers_.find(connection.get());
-    if (found != subscribers_.end())
-    {
-        found->second.report = unpack_report(packed);
-        found->second.heard = now();
-    }
-}
-
-void control_server::order(const change& edit, order_handler done)
-{
-    std::unique_ptr<buffers::request_object> request = std::make_unique<buffers::request_object>();
-    request->kind = static_cast<std::uint8_t>(request_kind::propose);
-    request->proposed = pack_change(edit);
-    handle_request(*request, outcome_of(std::move(done)));
-    schedule_pump();
-}
-
-control_server::reply_handler control_server::outcome_of(order_handler done)
-{
-    return [done = std::move(done)](const reply_pointer& reply)
-    {
-        order_outcome outcome;
-        outcome.error = static_cast<error_kind>(reply->error);
-        outcome.detail = reply->detail;
-        if (outcome.error == error_kind::none && reply->result)
-        {
-            outcome.error = static_cast<error_kind>(reply->result->error);
-            outcome.detail = reply->result->detail;
-        }
-        outcome.content.assign(reply->content.begin(), reply->content.end());
-        done(outcome);
-    };
-}
-
-void control_server::replace(const traffic_configuration& configuration, order_handler done)
-{
-    const std::vector<std::string> faults = find_configuration_faults(configuration);
-    if (!faults.empty())
-    {
-        done({error_kind::invalid_entry, join_faults(faults), {}});
-        return;
-    }
-    order(replace_configuration{configuration}, std::move(done));
-}
-
-void control_server::read(order_handler done)
-{
-    buffers::request_object request;
-    request.kind = static_cast<std::uint8_t>(request_kind::get_configuration);
-    handle_request(request, outcome_of(std::move(done)));
-    schedule_pump();
-}
-
-void control_server::mark(const std::string& domain, bool out, order_handler done)
-{
-    const bool is_known = std::find(settings_.domains.begin(), settings_.domains.end(), domain) !=
-                          settings_.domains.end();
-    if (!is_known)
-    {
-        done({error_kind::unknown_domain,
-              "failure domain '" + domain + "' is not in the settings",
-              {}});
-        return;
-    }
-    mark_domain edit;
-    edit.domain = domain;
-    edit.out = out;
-    edit.is_unconditional = true;
-    order(edit, std::move(done));
-}
-
-void control_server::send_updates()
-{
-    for (auto& [connection, who] : subscribers_)
-    {
-        send_update(who);
-    }
-    encoded_.clear();
-}
-
-std::uint64_t control_server::instance_address(instance_id voter) const
-{
-    const instance_slot slot = slot_of(voter);
-    const bool is_listed = slot >= 1 && slot <= settings_.peers.size();
-    const endpoint address = settings_.finds_peers ? endpoint{slot, settings_.address.port}
-                             : is_listed           ? settings_.peers[slot - 1U]
-                                                   : endpoint{};
-    return (static_cast<std::uint64_t>(address.address) << 16U) | address.port;
-}
-
-void control_server::send_update(subscriber& to)
-{
-    // Right after a start the state is that of the snapshot, older than what daemons had before.
-    has_been_current_ = has_been_current_ || is_confirmed();
-    if (!has_been_current_)
-    {
-        is_update_due_ = true;
-        return;
-    }
-    const generation current = state_.data().held;
-    if (to.sent >= current)
-    {
-        return;
-    }
-    const bool takes_all = to.report.kind == daemon_kind::balancer || to.service == every_service;
-    const std::string only = takes_all ? "" : (to.service.empty() ? "-" : to.service);
-    std::shared_ptr<const std::string>& bytes = encoded_[{to.sent, only}];
-    if (!bytes)
-    {
-        frame update;
-        update.update = pack_update(state_.collect_update(to.sent, only));
-        for (const instance_id voter : core_->log().voters())
-        {
-            update.update->instances.push_back(instance_address(voter));
-        }
-        bytes = std::make_shared<const std::string>(encode_frame(update));
-    }
-    to.connection->send_encoded(bytes);
-    ++counters_.updates_sent;
-    counters_.update_bytes += bytes->size();
-    to.sent = current;
-}
-
 std::vector<metric_sample> control_server::samples() const
 {
     return {
--- a/modules/carawayshelf_io/control_server.hpp
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -114,8 +114,10 @@
         reply_handler done;
     };
 
+    // Connections, disk and consensus, in control_server.cpp.
     void accept_next();
     void start_connection(const connection_pointer& connection);
+    void drop_connection(const connection_pointer& connection);
     void handle_frame(const connection_pointer& connection, frame& received);
     failure found_cluster_if_first();
     failure load_store();
@@ -123,47 +125,46 @@
     void resume_storage();
     void maintain_peers();
     void learn_peer(instance_slot slot);
+    endpoint address_of(instance_slot slot) const;
     bool is_confirmed() const;
     void answer_probe(const connection_pointer& connection, std::uint64_t number);
-    std::uint64_t instance_address(instance_id voter) const;
-    void order(const change& edit, order_handler done);
-    static reply_handler outcome_of(order_handler done);
     void send_hello(const connection_pointer& connection);
+    void handle_hello(const buffers::peer_hello_object& hello);
     void send_message(const message& value);
     connection_pointer connection_of(instance_id peer) const;
+    void schedule_pump();
+    void pump();
+    failure store_output(const consensus_output& output);
+    void apply_committed(const log_record& record);
+    void take_snapshot_if_due();
+    void stop(const failure& why);
+    void on_timer();
+    void on_lease_timer();
 
-    void handle_hello(const buffers::peer_hello_object& hello);
+    // Requests of operators and daemons, in control_server_requests.cpp.
+    void order(const change& edit, order_handler done);
+    static reply_handler outcome_of(order_handler done);
     void handle_request(const buffers::request_object& request, reply_handler done);
     void lead_request(const buffers::request_object& request, reply_handler done);
     void propose(const buffers::request_object& request, reply_handler done);
     void propose_change(const change& edit, std::uint64_t number, reply_handler done);
+    void finish_proposal(const log_record& record, const change_result& result);
+    void fail_proposals_after_leadership();
     void bootstrap(const buffers::request_object& request, const reply_handler& done);
     void forward(const buffers::request_object& request, reply_handler done);
-    void handle_parcels(const connection_pointer& connection, const frame& received);
     void handle_forwarded_reply(reply_pointer reply);
     void fail_forwarded(const std::function<bool(const pending_request&)>& picks, const char* why);
     reply_pointer read_reply(const buffers::request_object& request);
     void fill_status(buffers::status_object& status);
 
-    void schedule_pump();
-    void pump();
-    failure store_output(const consensus_output& output);
-    void apply_committed(const log_record& record);
-    void finish_proposal(const log_record& record, const change_result& result);
-    void fail_proposals_after_leadership();
-    void take_snapshot_if_due();
-    void stop(const failure& why);
-
-    void on_timer();
-    void on_lease_timer();
+    // Daemons that get updates, in control_server_subscribers.cpp.
     void handle_subscription(const connection_pointer& connection,
                              const buffers::subscribe_object& subscription);
     void handle_report(const connection_pointer& connection,
                        const buffers::daemon_lease_object& packed);
+    void handle_parcels(const connection_pointer& connection, const frame& received);
     void send_updates();
     void send_update(subscriber& to);
-    void drop_connection(const connection_pointer& connection);
-    static time_point now();
 
     boost::asio::io_context& io_;
     control_settings settings_;
--- /dev/null
+++ b/modules/carawayshelf_io/control_server_requests.cpp
@@ -0,0 +1,363 @@
+#include "carawayshelf_catalogue/entry_validation.hpp"
+#include "carawayshelf_io/control_server.hpp"
+#include "carawayshelf_io/json_log.hpp"
+#include "carawayshelf_io/steady_time.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace carawayshelf
+{
+
+void control_server::handle_request(const buffers::request_object& request, reply_handler done)
+{
+    if (request.kind >= request_kind_names.size())
+    {
+        done(make_error_reply(request.number, error_kind::malformed_frame, "unknown request"));
+        return;
+    }
+    if (!is_storing_)
+    {
+        done(make_error_reply(request.number, error_kind::no_leader,
+                              "this instance can't store anything at present"));
+        return;
+    }
+    if (static_cast<request_kind>(request.kind) == request_kind::bootstrap)
+    {
+        bootstrap(request, done);
+        return;
+    }
+    if (core_->role() == consensus_role::leader)
+    {
+        lead_request(request, std::move(done));
+        return;
+    }
+    forward(request, std::move(done));
+}
+
+void control_server::bootstrap(const buffers::request_object& request, const reply_handler& done)
+{
+    if (!core_->bootstrap(steady_now()))
+    {
+        done(make_error_reply(request.number, error_kind::usage,
+                              "this instance belongs to a cluster already; 'control init' is for "
+                              "the first start only, see the runbook"));
+        return;
+    }
+    log_info("started a new cluster with this instance as its first voter");
+    reply_pointer reply = std::make_unique<buffers::reply_object>();
+    reply->number = request.number;
+    done(std::move(reply));
+}
+
+void control_server::forward(const buffers::request_object& request, reply_handler done)
+{
+    const connection_pointer leader =
+        core_->leader() == 0 ? nullptr : connection_of(core_->leader());
+    if (!leader)
+    {
+        ++counters_.no_leader;
+        done(make_error_reply(request.number, error_kind::no_leader, ""));
+        return;
+    }
+    ++counters_.forwarded;
+    const std::uint64_t number = ++last_forwarded_;
+    forwarded_[number] = {request.number, std::move(done), steady_now(), leader};
+    frame sent;
+    sent.forwarded_request = std::make_unique<buffers::request_object>();
+    buffers::request_object& copy = *sent.forwarded_request;
+    copy.number = number;
+    copy.kind = request.kind;
+    copy.name = request.name;
+    copy.generation = request.generation;
+    if (request.proposed)
+    {
+        if (const std::optional<change> edit = unpack_change(*request.proposed))
+        {
+            copy.proposed = pack_change(*edit);
+        }
+    }
+    leader->send(sent);
+}
+
+void control_server::handle_forwarded_reply(reply_pointer reply)
+{
+    const auto found = forwarded_.find(reply->number);
+    if (found == forwarded_.end())
+    {
+        return;
+    }
+    reply->number = found->second.number;
+    const reply_handler done = std::move(found->second.done);
+    forwarded_.erase(found);
+    done(std::move(reply));
+}
+
+void control_server::fail_forwarded(const std::function<bool(const pending_request&)>& picks,
+                                    const char* why)
+{
+    std::vector<pending_request> failed;
+    for (auto item = forwarded_.begin(); item != forwarded_.end();)
+    {
+        if (picks(item->second))
+        {
+            failed.push_back(std::move(item->second));
+            item = forwarded_.erase(item);
+        }
+        else
+        {
+            ++item;
+        }
+    }
+    for (const pending_request& request : failed)
+    {
+        ++counters_.not_confirmed;
+        request.done(make_error_reply(request.number, error_kind::not_confirmed, why));
+    }
+}
+
+void control_server::lead_request(const buffers::request_object& request, reply_handler done)
+{
+    if (static_cast<request_kind>(request.kind) == request_kind::propose)
+    {
+        propose(request, std::move(done));
+        return;
+    }
+    pending_read read;
+    read.request.number = request.number;
+    read.request.kind = request.kind;
+    read.request.name = request.name;
+    read.request.generation = request.generation;
+    read.done = std::move(done);
+    const read_ticket ticket = core_->request_read(steady_now());
+    reads_[ticket] = std::move(read);
+    schedule_pump();
+}
+
+void control_server::propose(const buffers::request_object& request, reply_handler done)
+{
+    const std::optional<change> edit =
+        request.proposed ? unpack_change(*request.proposed) : std::optional<change>();
+    if (!edit)
+    {
+        done(make_error_reply(request.number, error_kind::malformed_frame, "no change given"));
+        return;
+    }
+    propose_change(*edit, request.number, std::move(done));
+}
+
+void control_server::propose_change(const change& edit, std::uint64_t number, reply_handler done)
+{
+    const std::optional<log_index> index = core_->propose(steady_now(), encode_change(edit));
+    if (!index)
+    {
+        ++counters_.no_leader;
+        if (done)
+        {
+            done(make_error_reply(number, error_kind::no_leader, ""));
+        }
+        return;
+    }
+    proposals_[*index] = {core_->term(), number, std::move(done)};
+    schedule_pump();
+}
+
+control_server::reply_pointer control_server::read_reply(const buffers::request_object& request)
+{
+    reply_pointer reply = std::make_unique<buffers::reply_object>();
+    reply->number = request.number;
+    reply->generation = state_.data().held;
+    switch (static_cast<request_kind>(request.kind))
+    {
+    case request_kind::get_service:
+    {
+        reply->version = state_.version_of(request.name);
+        const service_state* service = state_.find_service(request.name);
+        if (service == nullptr)
+        {
+            reply->error = static_cast<std::uint8_t>(error_kind::unknown_service);
+            reply->detail = "service '" + request.name + "' does not exist; to create it, put it " +
+                            "with --expect=" + std::to_string(reply->version);
+            break;
+        }
+        reply->services.push_back(pack_service(*service, false));
+        break;
+    }
+    case request_kind::list_services:
+        for (const auto& [name, service] : state_.data().services)
+        {
+            reply->services.push_back(pack_service(service, false));
+        }
+        break;
+    case request_kind::list_domains:
+        for (const auto& [name, domain] : state_.data().domains)
+        {
+            reply->domains.push_back(pack_domain(name, domain));
+        }
+        break;
+    case request_kind::wait_for:
+        reply->lagging = leases_.lagging(steady_now(), request.generation);
+        break;
+    case request_kind::status:
+        reply->state = std::make_unique<buffers::status_object>();
+        fill_status(*reply->state);
+        break;
+    case request_kind::get_configuration:
+    {
+        const cluster_state::contents& data = state_.data();
+        reply->version = data.configuration.version;
+        reply->content.assign(data.configuration.content.begin(), data.configuration.content.end());
+        if (data.configuration_changed_at == 0)
+        {
+            reply->error = static_cast<std::uint8_t>(error_kind::unknown_service);
+            reply->detail = "there is no configuration yet: send one";
+        }
+        break;
+    }
+    case request_kind::propose:
+    case request_kind::bootstrap:
+        break;
+    }
+    return reply;
+}
+
+void control_server::fill_status(buffers::status_object& status)
+{
+    status.term = core_->term();
+    status.generation = state_.data().held;
+    status.safe_to_lose_one = renewal_.is_safe_to_lose_one(steady_now(), *core_);
+    const std::vector<instance_id> live = core_->live_voters(steady_now());
+    for (const instance_id voter : core_->log().voters())
+    {
+        std::unique_ptr<buffers::instance_status_object> instance =
+            std::make_unique<buffers::instance_status_object>();
+        instance->identity = voter;
+        instance->slot = slot_of(voter);
+        instance->voter = true;
+        instance->live = std::find(live.begin(), live.end(), voter) != live.end();
+        instance->leader = voter == core_->identity();
+        instance->match = instance->leader ? core_->log().last_index() : core_->match_of(voter);
+        status.instances.push_back(std::move(instance));
+    }
+    for (const daemon_report& report : leases_.live(steady_now()))
+    {
+        status.daemons.push_back(pack_report(report));
+    }
+    for (const auto& [id, who] : state_.data().members)
+    {
+        status.members.push_back(pack_member(who));
+    }
+    for (const auto& [name, service] : state_.data().services)
+    {
+        status.services.push_back(pack_service(service, true));
+    }
+    for (const auto& [name, domain] : state_.data().domains)
+    {
+        status.domains.push_back(pack_domain(name, domain));
+    }
+}
+
+void control_server::finish_proposal(const log_record& record, const change_result& result)
+{
+    auto found = proposals_.extract(record.index);
+    if (!found)
+    {
+        return;
+    }
+    pending_proposal& proposal = found.mapped();
+    if (!proposal.done)
+    {
+        return;
+    }
+    if (proposal.term != record.term)
+    {
+        ++counters_.not_confirmed;
+        proposal.done(make_error_reply(proposal.number, error_kind::not_confirmed,
+                                       "another leader took over"));
+        return;
+    }
+    ++(result.error == error_kind::none ? counters_.accepted : counters_.refused);
+    reply_pointer reply = std::make_unique<buffers::reply_object>();
+    reply->number = proposal.number;
+    reply->generation = record.index;
+    reply->result = pack_result(result);
+    proposal.done(std::move(reply));
+}
+
+void control_server::fail_proposals_after_leadership()
+{
+    for (const auto& [index, proposal] : std::exchange(proposals_, {}))
+    {
+        if (proposal.done)
+        {
+            ++counters_.not_confirmed;
+            proposal.done(make_error_reply(proposal.number, error_kind::not_confirmed,
+                                           "the leader stepped down before a majority had it"));
+        }
+    }
+}
+
+void control_server::order(const change& edit, order_handler done)
+{
+    std::unique_ptr<buffers::request_object> request = std::make_unique<buffers::request_object>();
+    request->kind = static_cast<std::uint8_t>(request_kind::propose);
+    request->proposed = pack_change(edit);
+    handle_request(*request, outcome_of(std::move(done)));
+    schedule_pump();
+}
+
+control_server::reply_handler control_server::outcome_of(order_handler done)
+{
+    return [done = std::move(done)](const reply_pointer& reply)
+    {
+        order_outcome outcome;
+        outcome.error = static_cast<error_kind>(reply->error);
+        outcome.detail = reply->detail;
+        if (outcome.error == error_kind::none && reply->result)
+        {
+            outcome.error = static_cast<error_kind>(reply->result->error);
+            outcome.detail = reply->result->detail;
+        }
+        outcome.content.assign(reply->content.begin(), reply->content.end());
+        done(outcome);
+    };
+}
+
+void control_server::replace(const traffic_configuration& configuration, order_handler done)
+{
+    const std::vector<std::string> faults = find_configuration_faults(configuration);
+    if (!faults.empty())
+    {
+        done({error_kind::invalid_entry, join_faults(faults), {}});
+        return;
+    }
+    order(replace_configuration{configuration}, std::move(done));
+}
+
+void control_server::read(order_handler done)
+{
+    buffers::request_object request;
+    request.kind = static_cast<std::uint8_t>(request_kind::get_configuration);
+    handle_request(request, outcome_of(std::move(done)));
+    schedule_pump();
+}
+
+void control_server::mark(const std::string& domain, bool out, order_handler done)
+{
+    const bool is_known = std::find(settings_.domains.begin(), settings_.domains.end(), domain) !=
+                          settings_.domains.end();
+    if (!is_known)
+    {
+        done({error_kind::unknown_domain,
+              "failure domain '" + domain + "' is not in the settings",
+              {}});
+        return;
+    }
+    mark_domain edit;
+    edit.domain = domain;
+    edit.out = out;
+    edit.is_unconditional = true;
+    order(edit, std::move(done));
+}
+
+} // namespace carawayshelf
--- /dev/null
+++ b/modules/carawayshelf_io/control_server_subscribers.cpp
@@ -0,0 +1,106 @@
+#include "carawayshelf_io/control_server.hpp"
+#include "carawayshelf_io/json_log.hpp"
+#include "carawayshelf_io/steady_time.hpp"
+
+namespace carawayshelf
+{
+
+void control_server::handle_subscription(const connection_pointer& connection,
+                                         const buffers::subscribe_object& subscription)
+{
+    subscriber& added = subscribers_[connection.get()];
+    added.connection = connection;
+    added.report = unpack_report(*subscription.lease);
+    added.service = subscription.service;
+    added.sent = 0;
+    added.heard = steady_now();
+    // A daemon that is ahead of this instance keeps what it has.
+    if (added.report.held != 0 && added.report.held >= state_.data().horizon)
+    {
+        added.sent = added.report.held;
+    }
+    send_update(added);
+    encoded_.clear();
+}
+
+void control_server::handle_report(const connection_pointer& connection,
+                                   const buffers::daemon_lease_object& packed)
+{
+    const auto found = subscribers_.find(connection.get());
+    if (found != subscribers_.end())
+    {
+        found->second.report = unpack_report(packed);
+        found->second.heard = steady_now();
+    }
+}
+
+void control_server::handle_parcels(const connection_pointer& connection, const frame& received)
+{
+    if (!received.park && !received.claim)
+    {
+        return;
+    }
+    frame answer;
+    answer.claimed = std::make_unique<buffers::parcel_object>();
+    if (received.park)
+    {
+        const std::vector<std::uint8_t>& content = received.park->content;
+        if (!parked_.park(steady_now(), received.park->name, {content.begin(), content.end()}))
+        {
+            log_warning("no room to park the state of " + received.park->name);
+            return;
+        }
+    }
+    if (received.claim)
+    {
+        const std::string content = parked_.claim(steady_now(), received.claim->name);
+        answer.claimed->content.assign(content.begin(), content.end());
+    }
+    connection->send(answer);
+}
+
+void control_server::send_updates()
+{
+    for (auto& [connection, who] : subscribers_)
+    {
+        send_update(who);
+    }
+    encoded_.clear();
+}
+
+void control_server::send_update(subscriber& to)
+{
+    // Right after a start the state is that of the snapshot, older than what daemons had before.
+    has_been_current_ = has_been_current_ || is_confirmed();
+    if (!has_been_current_)
+    {
+        is_update_due_ = true;
+        return;
+    }
+    const generation current = state_.data().held;
+    if (to.sent >= current)
+    {
+        return;
+    }
+    const bool takes_all = to.report.kind == daemon_kind::balancer || to.service == every_service;
+    const std::string only = takes_all ? "" : (to.service.empty() ? "-" : to.service);
+    std::shared_ptr<const std::string>& bytes = encoded_[{to.sent, only}];
+    if (!bytes)
+    {
+        frame update;
+        update.update = pack_update(state_.collect_update(to.sent, only));
+        for (const instance_id voter : core_->log().voters())
+        {
+            const endpoint address = address_of(slot_of(voter));
+            update.update->instances.push_back(
+                (static_cast<std::uint64_t>(address.address) << 16U) | address.port);
+        }
+        bytes = std::make_shared<const std::string>(encode_frame(update));
+    }
+    to.connection->send_encoded(bytes);
+    ++counters_.updates_sent;
+    counters_.update_bytes += bytes->size();
+    to.sent = current;
+}
+
+} // namespace carawayshelf
--- a/modules/carawayshelf_io/decision_log.cpp
+++ b/modules/carawayshelf_io/decision_log.cpp
@@ -1,6 +1,7 @@
 #include "carawayshelf_io/decision_log.hpp"
 
 #include "carawayshelf_io/json_log.hpp"
+#include "carawayshelf_io/steady_time.hpp"
 
 #include <string>
 #include <utility>
@@ -10,7 +11,7 @@
 
 void decision_log::note(const packet_decision& decision)
 {
-    const time_point now = std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
+    const time_point now = steady_now();
     if (now - second_ >= std::chrono::seconds(1))
     {
         second_ = now;
--- a/modules/carawayshelf_io/packet_agent_worker.cpp
+++ b/modules/carawayshelf_io/packet_agent_worker.cpp
@@ -1,4 +1,5 @@
 #include "carawayshelf_io/packet_agent_worker.hpp"
+#include "carawayshelf_io/steady_time.hpp"
 
 #include <poll.h>
 
@@ -11,11 +12,6 @@
 namespace
 {
 
-time_point now()
-{
-    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
-}
-
 packet_agent::options make_options(const agent_daemon_settings& settings)
 {
     packet_agent::options own;
@@ -66,14 +62,14 @@
     std::array<pollfd, 3> watched = {{{sockets_.data_fd(), POLLIN, 0},
                                       {sockets_.server_side_fd(), POLLIN, 0},
                                       {wake_.fd(), POLLIN, 0}}};
-    time_point tick_due = now();
+    time_point tick_due = steady_now();
     while (!is_stopping_)
     {
-        const duration left = std::max(tick_due - now(), duration(0));
+        const duration left = std::max(tick_due - steady_now(), duration(0));
         ::poll(watched.data(), watched.size(),
                static_cast<int>(
                    std::chrono::duration_cast<std::chrono::milliseconds>(left).count() + 1));
-        const time_point instant = now();
+        const time_point instant = steady_now();
         if (watched[2].revents != 0)
         {
             wake_.clear();
--- a/modules/carawayshelf_io/packet_balancer_daemon.cpp
+++ b/modules/carawayshelf_io/packet_balancer_daemon.cpp
@@ -8,6 +8,7 @@
 #include "carawayshelf_io/metrics_page.hpp"
 #include "carawayshelf_io/packet_samples.hpp"
 #include "carawayshelf_io/packet_sockets.hpp"
+#include "carawayshelf_io/steady_time.hpp"
 #include "carawayshelf_io/wake_up.hpp"
 #include "carawayshelf_packets/packet_balancer.hpp"
 
@@ -26,11 +27,6 @@
 /** A table that control confirmed longer ago is no ground for resets. */
 constexpr duration table_fresh_for = packet_agent::table_fresh_for;
 
-time_point now()
-{
-    return std::chrono::time_point_cast<duration>(std::chrono::steady_clock::now());
-}
-
 /** The traffic thread of a packet balancer. */
 class packet_balancer_worker
 {
@@ -78,7 +74,7 @@
     /** Thread-safe. */
     void confirm_table()
     {
-        confirmed_us_ = now().time_since_epoch().count();
+        confirmed_us_ = steady_now().time_since_epoch().count();
     }
 
 private:
@@ -86,17 +82,17 @@
     {
         std::array<pollfd, 3> watched = {
             {{entry_.get(), POLLIN, 0}, {sockets_.data_fd(), POLLIN, 0}, {wake_.fd(), POLLIN, 0}}};
-        time_point tick_due = now();
+        time_point tick_due = steady_now();
         generation ticked_for = 0;
         while (!is_stopping_)
         {
-            const duration left = std::max(tick_due - now(), duration(0));
+            const duration left = std::max(tick_due - steady_now(), duration(0));
             ::poll(watched.data(), watched.size(),
                    static_cast<int>(
                        std::chrono::duration_cast<std::chrono::milliseconds>(left).count() + 1));
             wake_.clear();
             const std::shared_ptr<const packet_table> table = std::atomic_load(&table_);
-            const time_point instant = now();
+            const time_point instant = steady_now();
             core_.release_early(instant, *table, is_fresh(instant, *table));
             while (take_envelopes(instant) || take_packets(instant, *table))
             {
--- a/modules/carawayshelf_io/peer_links.cpp
+++ b/modules/carawayshelf_io/peer_links.cpp
@@ -1,4 +1,5 @@
 #include "carawayshelf_io/peer_links.hpp"
+#include "carawayshelf_io/steady_time.hpp"
 
 #include <utility>
 
@@ -98,8 +99,7 @@
                               {
                                   return;
                               }
-                              connected.heard = std::chrono::time_point_cast<duration>(
-                                  std::chrono::steady_clock::now());
+                              connected.heard = steady_now();
                               connected.connection =
                                   std::make_shared<frame_connection>(std::move(*socket));
                               on_connected_(connected.connection);
