--- a/tests/fakes/control_world.cpp
+++ b/tests/fakes/control_world.cpp
@@ -110,6 +110,9 @@
     case control_step_kind::crash_while_writing:
         item.dies_while_writing = item.core != nullptr;
         break;
+    case control_step_kind::stall_disk:
+        item.next_sync = std::chrono::milliseconds(step.pick * 3);
+        break;
     case control_step_kind::restart:
         if (!item.core)
         {
@@ -178,6 +181,7 @@
     }
     item.is_frozen = false;
     item.dies_while_writing = false;
+    item.next_sync = duration(0);
 }
 
 void control_world::crash(instance& item)
@@ -185,6 +189,7 @@
     item.core.reset();
     item.proposals.clear();
     item.reads.clear();
+    item.stalled.reset();
     item.disk->lose_power(random_());
 }
 
@@ -238,7 +243,7 @@
     instance* best = nullptr;
     for (instance& item : instances_)
     {
-        if (item.core && !item.is_frozen && item.core->role() == consensus_role::leader &&
+        if (item.core && !item.stands_still() && item.core->role() == consensus_role::leader &&
             (best == nullptr || item.core->term() > best->core->term()))
         {
             best = &item;
@@ -257,7 +262,12 @@
             const std::pair<std::size_t, message> due = std::move(network_.begin()->second);
             network_.erase(network_.begin());
             instance& to = instances_[due.first];
-            if (to.core && !to.is_frozen)
+            if (to.core && to.stalled && !to.is_frozen)
+            {
+                // It waits in the connection.
+                network_.emplace(std::max(to.stalled_until, now_ + tick), due);
+            }
+            else if (to.core && !to.is_frozen)
             {
                 to.core->receive(now_, due.second);
                 pump(to);
@@ -265,7 +275,11 @@
         }
         for (instance& item : instances_)
         {
-            if (!item.core || item.is_frozen)
+            if (item.core && item.stalled && now_ >= item.stalled_until && !item.is_frozen)
+            {
+                end_stall(item);
+            }
+            if (!item.core || item.stands_still())
             {
                 continue;
             }
@@ -301,6 +315,20 @@
         crash(item);
         return false;
     }
+    if (output.needs_sync() && item.next_sync > duration(0))
+    {
+        item.stalled_until = now_ + std::exchange(item.next_sync, duration(0));
+        item.stalled = output;
+        if (broken_.sent_before_synced)
+        {
+            item.core->persisted(now_);
+            for (const message& value : output.messages)
+            {
+                send(item, value);
+            }
+        }
+        return false;
+    }
     if (output.needs_sync())
     {
         item.disk->sync();
@@ -308,9 +336,19 @@
     return true;
 }
 
+/** The sync that took so long is over. */
+void control_world::end_stall(instance& item)
+{
+    item.disk->sync();
+    const consensus_output output = std::move(*item.stalled);
+    item.stalled.reset();
+    carry_out(item, output);
+    pump(item);
+}
+
 void control_world::pump(instance& item)
 {
-    while (item.core)
+    while (item.core && !item.stalled)
     {
         const consensus_output output = item.core->take_output();
         if (output.is_empty())
@@ -321,29 +359,35 @@
         {
             return;
         }
-        item.core->persisted(now_);
-        for (const message& value : output.messages)
-        {
-            send(item, value);
-        }
-        for (const log_record& record : output.committed)
+        carry_out(item, output);
+    }
+    take_snapshot(item);
+}
+
+/** What follows once an output is synced. */
+void control_world::carry_out(instance& item, const consensus_output& output)
+{
+    item.core->persisted(now_);
+    for (const message& value : output.messages)
+    {
+        send(item, value);
+    }
+    for (const log_record& record : output.committed)
+    {
+        apply(item, record);
+    }
+    for (const read_ticket ticket : output.confirmed_reads)
+    {
+        const auto call = item.reads.extract(ticket);
+        if (call && call.mapped().operation == status_call)
         {
-            apply(item, record);
+            status_says_safe_ = item.renewal->is_safe_to_lose_one(now_, *item.core);
         }
-        for (const read_ticket ticket : output.confirmed_reads)
+        else if (call)
         {
-            const auto call = item.reads.extract(ticket);
-            if (call && call.mapped().operation == status_call)
-            {
-                status_says_safe_ = item.renewal->is_safe_to_lose_one(now_, *item.core);
-            }
-            else if (call)
-            {
-                answer_read(call.mapped().operation, call.mapped().attempt, item.state);
-            }
+            answer_read(call.mapped().operation, call.mapped().attempt, item.state);
         }
     }
-    take_snapshot(item);
 }
 
 void control_world::apply(instance& item, const log_record& record)
@@ -368,7 +412,7 @@
 
 void control_world::take_snapshot(instance& item)
 {
-    if (!item.core)
+    if (!item.core || item.stalled)
     {
         return;
     }
@@ -450,7 +494,7 @@
     operation& open = operations_[operation_index];
     open.sent = now_;
     ++open.attempt;
-    if (!to.core || to.is_frozen)
+    if (!to.core || to.stands_still())
     {
         return;
     }
@@ -525,6 +569,7 @@
     for (instance& item : instances_)
     {
         item.is_frozen = false;
+        item.next_sync = duration(0);
         item.dies_while_writing = false;
         if (!item.core)
         {
--- a/tests/fakes/control_world.hpp
+++ b/tests/fakes/control_world.hpp
@@ -24,6 +24,7 @@
     advance,
     crash,
     crash_while_writing,
+    stall_disk, ///< The next sync takes up to some seconds; the instance stands still meanwhile.
     restart,
     lose_disk, ///< Only where the leader's status calls it safe.
     replace,   ///< The same, and another instance with an address of its own takes its place.
@@ -56,6 +57,7 @@
     bool vote_not_persisted = false;
     bool old_identity_votes = false;
     bool stale_read_served = false;
+    bool sent_before_synced = false;
 };
 
 /** Control instances with fake disks, network and clock, and operators who race for one catalogue
@@ -97,6 +99,15 @@
         cluster_state state;
         bool is_frozen = false;
         bool dies_while_writing = false;
+        duration next_sync{0};                   ///< How long the next sync takes.
+        time_point stalled_until;                ///< A sync is under way.
+        std::optional<consensus_output> stalled; ///< What follows that sync.
+
+        /** Whether it does anything at present. */
+        bool stands_still() const
+        {
+            return is_frozen || stalled.has_value();
+        }
         std::map<log_index, pending_call> proposals;
         std::map<read_ticket, pending_call> reads;
     };
@@ -130,6 +141,8 @@
     void lose_disk(instance& item, bool at_another_address);
     void advance_to(time_point until);
     void pump(instance& item);
+    void end_stall(instance& item);
+    void carry_out(instance& item, const consensus_output& output);
     bool store(instance& item, const consensus_output& output);
     void apply(instance& item, const log_record& record);
     void take_snapshot(instance& item);
--- a/tests/unit/control_history_test.cpp
+++ b/tests/unit/control_history_test.cpp
@@ -33,6 +33,7 @@
         {36, control_step_kind::advance},
         {2, control_step_kind::crash},
         {3, control_step_kind::crash_while_writing},
+        {2, control_step_kind::stall_disk},
         {7, control_step_kind::restart},
         {2, control_step_kind::lose_disk},
         {replacements, control_step_kind::replace},
@@ -103,7 +104,7 @@
         const char* name;
         broken_control_rules broken;
     };
-    std::vector<rule_case> cases(4);
+    std::vector<rule_case> cases(5);
     cases[0].name = "sync skipped";
     cases[0].broken.sync_skipped = true;
     cases[1].name = "vote not persisted";
@@ -112,6 +113,8 @@
     cases[2].broken.old_identity_votes = true;
     cases[3].name = "stale read served";
     cases[3].broken.stale_read_served = true;
+    cases[4].name = "sent before synced";
+    cases[4].broken.sent_before_synced = true;
     for (const rule_case& item : cases)
     {
         std::string violation;
