--- a/modules/carawayshelf_catalogue/subscriber_table.cpp
+++ b/modules/carawayshelf_catalogue/subscriber_table.cpp
@@ -12,10 +12,13 @@
         return false;
     }
     held_ = update.held;
+    changes_ = {};
+    changes_.is_complete = update.complete;
     if (update.complete)
     {
         services_.clear();
         members_.clear();
+        members_of_.clear();
     }
     for (const service_id removed : update.removed_services)
     {
@@ -23,11 +26,11 @@
     }
     for (const member_id removed : update.removed_members)
     {
-        members_.erase(removed);
+        erase_member(removed);
     }
     for (const member& changed : update.members)
     {
-        members_[changed.id] = changed;
+        put_member(changed);
     }
     for (const service_update& changed : update.services)
     {
@@ -42,11 +45,57 @@
     if (update.rules)
     {
         rules_ = update.rules;
+        changes_.has_rules = true;
     }
-    domains_out_ = std::set<std::string>(update.domains_out.begin(), update.domains_out.end());
+    std::set<std::string> domains_out(update.domains_out.begin(), update.domains_out.end());
+    changes_.has_domains = domains_out != domains_out_;
+    domains_out_ = std::move(domains_out);
     return true;
 }
 
+void subscriber_table::put_member(const member& changed)
+{
+    erase_member(changed.id);
+    members_[changed.id] = changed;
+    members_of_[changed.service].insert(changed.id);
+    changes_.services.insert(changed.service);
+}
+
+void subscriber_table::erase_member(member_id removed)
+{
+    const auto found = members_.find(removed);
+    if (found == members_.end())
+    {
+        return;
+    }
+    const std::string& name = found->second.service;
+    changes_.services.insert(name);
+    const auto ids = members_of_.find(name);
+    ids->second.erase(removed);
+    if (ids->second.empty())
+    {
+        members_of_.erase(ids);
+    }
+    members_.erase(found);
+}
+
+const std::set<member_id>& subscriber_table::members_of(const std::string& name) const
+{
+    static const std::set<member_id> none;
+    const auto found = members_of_.find(name);
+    return found == members_of_.end() ? none : found->second;
+}
+
+std::vector<std::string> subscriber_table::services_with_members() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, ids] : members_of_)
+    {
+        names.push_back(name);
+    }
+    return names;
+}
+
 const std::pair<const service_id, subscriber_table::service>*
 subscriber_table::find_service(const std::string& name) const
 {
--- a/modules/carawayshelf_catalogue/subscriber_table.hpp
+++ b/modules/carawayshelf_catalogue/subscriber_table.hpp
@@ -11,6 +11,15 @@
 namespace carawayshelf
 {
 
+/** What an update changed in a subscriber's tables. */
+struct table_changes
+{
+    bool is_complete = false; ///< Everything was replaced.
+    bool has_rules = false;
+    bool has_domains = false;
+    std::set<std::string> services; ///< Those whose members changed.
+};
+
 /** A daemon's copy of its slice of the tables. Never goes back to an older generation.
     Not thread-safe. */
 class subscriber_table
@@ -26,6 +35,18 @@
      */
     bool apply(const table_update& update);
 
+    /** What the last update that was taken in changed. */
+    const table_changes& changes() const
+    {
+        return changes_;
+    }
+
+    /** Ids of a service's members. */
+    const std::set<member_id>& members_of(const std::string& name) const;
+
+    /** Names of all services that have members. */
+    std::vector<std::string> services_with_members() const;
+
     /** Builds the compact table for a balancer's traffic threads. */
     routing_table build_routing_table() const;
 
@@ -64,7 +85,12 @@
     }
 
 private:
+    void put_member(const member& changed);
+    void erase_member(member_id removed);
+
     generation held_ = 0;
+    table_changes changes_;
+    std::map<std::string, std::set<member_id>> members_of_;
     std::map<service_id, service> services_;
     std::map<member_id, member> members_;
     std::set<std::string> domains_out_;
--- a/modules/carawayshelf_io/packet_agent_daemon.cpp
+++ b/modules/carawayshelf_io/packet_agent_daemon.cpp
@@ -171,6 +171,7 @@
 
     void take_update(const table_update& update)
     {
+        const bool is_first = table_.held() == 0;
         if (!table_.apply(update))
         {
             log_warning("ignored an update to generation " + std::to_string(update.held) +
@@ -179,10 +180,14 @@
         }
         membership_.take_table(table_);
         held_ = table_.held();
-        traffic_table_ = std::make_shared<const packet_table>(table_, *traffic_table_);
+        traffic_table_ =
+            std::make_shared<const packet_table>(packet_table::update(table_, *traffic_table_));
         worker_.post([table = traffic_table_](time_point instant, packet_agent& core)
                      { core.set_table(instant, table); });
-        client_.send_report();
+        if (is_first)
+        {
+            client_.send_report(); // The answer confirms the table.
+        }
     }
 
     boost::asio::io_context& io_;
--- a/modules/carawayshelf_io/packet_agent_worker.cpp
+++ b/modules/carawayshelf_io/packet_agent_worker.cpp
@@ -83,7 +83,7 @@
         }
         if (instant >= tick_due)
         {
-            tick_due = instant + packet_agent::report_interval;
+            tick_due = instant + packet_agent::tick_interval;
             core_.tick(instant);
         }
         sockets_.flush();
--- a/modules/carawayshelf_io/packet_balancer_daemon.cpp
+++ b/modules/carawayshelf_io/packet_balancer_daemon.cpp
@@ -83,7 +83,6 @@
         std::array<pollfd, 3> watched = {
             {{entry_.get(), POLLIN, 0}, {sockets_.data_fd(), POLLIN, 0}, {wake_.fd(), POLLIN, 0}}};
         time_point tick_due = steady_now();
-        generation ticked_for = 0;
         while (!is_stopping_)
         {
             const duration left = std::max(tick_due - steady_now(), duration(0));
@@ -97,10 +96,9 @@
             while (take_envelopes(instant) || take_packets(instant, *table))
             {
             }
-            if (instant >= tick_due || table->held() != ticked_for)
+            if (instant >= tick_due)
             {
-                ticked_for = table->held();
-                tick_due = instant + packet_balancer::watch_interval;
+                tick_due = instant + packet_balancer::probe_interval;
                 core_.tick(instant, *table);
                 sockets_.flush();
             }
@@ -235,13 +233,15 @@
 
     void take_update(const table_update& update)
     {
+        const bool is_first = table_.held() == 0;
         if (!table_.apply(update))
         {
             log_warning("ignored an update to generation " + std::to_string(update.held) +
                         ", older than the held " + std::to_string(table_.held()));
             return;
         }
-        traffic_table_ = std::make_shared<const packet_table>(table_, *traffic_table_);
+        traffic_table_ =
+            std::make_shared<const packet_table>(packet_table::update(table_, *traffic_table_));
         worker_.set_table(traffic_table_);
         held_ = table_.held();
         if (!is_ready_ && table_.rules())
@@ -249,7 +249,10 @@
             is_ready_ = true;
             log_info("ready with generation " + std::to_string(held_));
         }
-        client_.send_report();
+        if (is_first)
+        {
+            client_.send_report(); // The answer confirms the table.
+        }
     }
 
     boost::asio::io_context& io_;
--- a/modules/carawayshelf_io/packet_sockets.cpp
+++ b/modules/carawayshelf_io/packet_sockets.cpp
@@ -33,6 +33,8 @@
     }
     const std::size_t size = encode_packet_envelope(envelope, to_network_.header_room());
     to_network_.add(to, size, packet);
+    counters_.sent_envelopes.add(envelope.kind);
+    counters_.sent_envelope_bytes.add(envelope.kind, size + packet.size());
 }
 
 void packet_sockets::send_to_client(std::uint32_t client_address, std::string_view packet)
--- a/modules/carawayshelf_packets/flow_cache.cpp
+++ b/modules/carawayshelf_packets/flow_cache.cpp
@@ -56,4 +56,15 @@
     *chosen = {flow_hash, agent, now_ms};
 }
 
+void flow_cache::forget(std::uint64_t flow_hash, const endpoint& agent)
+{
+    for (entry& item : set_of(flow_hash))
+    {
+        if (item.flow_hash == flow_hash && item.agent == agent)
+        {
+            item = entry{};
+        }
+    }
+}
+
 } // namespace carawayshelf
--- a/modules/carawayshelf_packets/flow_cache.hpp
+++ b/modules/carawayshelf_packets/flow_cache.hpp
@@ -25,6 +25,9 @@
     /** Remembers the agent of a flow in place of the set's least recently used one. */
     void put(std::uint64_t flow_hash, const endpoint& agent, time_point now);
 
+    /** Forgets a flow, if it is remembered at that agent. */
+    void forget(std::uint64_t flow_hash, const endpoint& agent);
+
 private:
     static constexpr std::size_t ways = 4;
 
--- a/modules/carawayshelf_packets/load_board.hpp
+++ b/modules/carawayshelf_packets/load_board.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <unordered_map>
+#include <vector>
 
 namespace carawayshelf
 {
@@ -13,22 +14,35 @@
 /** What a balancer knows of an agent's load. */
 struct load_estimate
 {
-    /** What a new request would take, waiting included: by the requests under way, as reported, and
-        those sent there since. */
+    /** What a new request would take, waiting included: by the requests under way, as last told,
+       and those sent there since. */
     duration expected{0};
     bool is_closed = false;
     bool is_cold = false;
-    bool is_suspect = false; ///< Its reports have stopped.
+    bool is_suspect = false; ///< It has left something unanswered.
+    bool is_known = false;   ///< It has told its load lately.
 };
 
-/** The agents' load reports at a balancer, with what it has placed since each. Not thread-safe. */
+/** The agents' loads at a balancer. An agent tells its load in its answer to each new flow and to
+    each probe, so what a balancer hears grows with the flows that it places, not with the number of
+    agents. What it has not heard of lately counts as idle: the agent itself passes on what it can't
+    serve at once. Answers load that comes unevenly, and servers that turn slow. Not thread-safe. */
 class load_board
 {
 public:
-    /** Without a report for this long an agent is suspect: three reports in a row are missing. */
-    static constexpr duration suspect_after = std::chrono::milliseconds(350);
+    /** An agent that answers a new flow or a probe later than this is suspect: several times the
+        way there and back, and less than the time after which a client sends again. */
+    static constexpr duration answer_due = std::chrono::milliseconds(100);
 
-    /** What an agent reports of itself. */
+    /** What an agent told of the requests under way there counts less and less until this age; most
+        of them have ended by then. */
+    static constexpr duration load_ages_for = std::chrono::seconds(1);
+
+    /** An agent from which nothing was heard for this long is probed when a flow is looked for
+        there. */
+    static constexpr duration heard_lately = std::chrono::seconds(1);
+
+    /** What an agent tells of itself. */
     struct report
     {
         double load = 0.0;
@@ -40,25 +54,53 @@
 
     void take_report(time_point now, const endpoint& agent, const report& told);
 
-    /** This balancer has sent a new flow there. */
+    /** This balancer has sent a new flow there, and expects an answer. */
     void note_placed(time_point now, const endpoint& agent);
 
-    /** An agent that never reported counts as idle and not suspect. */
+    /** Whether an agent should be probed since nothing was heard of it lately and nothing is asked
+        already. Then a probe counts as sent. */
+    bool wants_probe(time_point now, const endpoint& agent);
+
+    /** Suspects to probe again, at most so many; those that were probed last come last. */
+    std::vector<endpoint> suspects_to_probe(time_point now, std::size_t most);
+
+    /** An agent that was never heard of counts as idle and not suspect. */
     load_estimate estimate(time_point now, const endpoint& agent) const;
 
-    /** Forgets agents without a report for a long time. */
+    /** Forgets agents of which nothing was heard for a long time. */
     void expire(time_point now);
 
+    std::size_t size() const
+    {
+        return entries_.size();
+    }
+
 private:
-    static constexpr duration forget_after = std::chrono::seconds(30);
+    /** A slow agent is tried again by a new flow after this. */
+    static constexpr duration forget_after = std::chrono::seconds(10);
 
     struct entry
     {
         report told;
-        double placed = 0.0;
-        time_point reported;
+        double placed = 0.0; ///< Since it told its load.
+        time_point heard;    ///< None before its first answer.
+        time_point asked;    ///< The first question that is unanswered, or none.
+        time_point probed;   ///< The last probe.
     };
 
+    static bool is_suspect(time_point now, const entry& known)
+    {
+        return known.asked != time_point() && now - known.asked > answer_due;
+    }
+
+    static void note_asked(time_point now, entry& known)
+    {
+        if (known.asked == time_point())
+        {
+            known.asked = now;
+        }
+    }
+
     std::unordered_map<endpoint, entry> entries_;
 };
 
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -97,6 +97,10 @@
     {
         item = now - item->second >= settle_time ? led_since_.erase(item) : std::next(item);
     }
+    if (next.has_routes_of(*table_))
+    {
+        return;
+    }
     for (const endpoint& address : next.routes_leading_to(service()))
     {
         const packet_route* before = table_->find_route(address);
@@ -175,6 +179,7 @@
     {
         if (known->second.state == flow_state::opening)
         {
+            tell_holder(now, packet.flow(), envelope.balancer);
             deliver(envelope, packet);
         }
         return; // A late copy of the packet that opened the flow.
@@ -182,6 +187,7 @@
     const duration silence = opening_age::silence_after(packet.head.acknowledged);
     if (waiting_.hear_copy(now + silence, packet.flow()))
     {
+        tell_holder(now, packet.flow(), envelope.balancer);
         return; // A copy of one that waits.
     }
     decide_opening(now, envelope, route, packet);
@@ -261,10 +267,7 @@
     placed.used = now;
     start_request(now, placed);
     ++counters_.placed;
-    if (envelope.position > 0)
-    {
-        tell_holder(packet.flow(), envelope.balancer);
-    }
+    tell_holder(now, packet.flow(), envelope.balancer);
     deliver(envelope, packet);
 }
 
@@ -275,7 +278,7 @@
     {
         if (!queue_opening(now, envelope, route, packet))
         {
-            refuse(envelope, packet.head);
+            refuse(now, envelope, packet.head);
         }
         return;
     }
@@ -311,7 +314,7 @@
     waiting_.add(now, route.priority,
                  {envelope, packet.flow(), std::string(packet.bytes()), now + left, now + in_time,
                   now + opening_age::silence_after(copy)});
-    tell_holder(packet.flow(), envelope.balancer); // Copies come here.
+    tell_holder(now, packet.flow(), envelope.balancer); // Copies come here.
     return true;
 }
 
@@ -344,8 +347,9 @@
 }
 
 /** Resets the flow, unless a later copy of its opening packet may have opened it elsewhere. */
-void packet_agent::refuse(const packet_envelope& envelope, const packet_head& head)
+void packet_agent::refuse(time_point now, const packet_envelope& envelope, const packet_head& head)
 {
+    tell_load(now, envelope.balancer);
     if ((envelope.flags & opening_flag_early) != 0)
     {
         note_dropped(packet_drop::too_late, envelope, head);
@@ -361,7 +365,7 @@
         packet_head head;
         if (format_.decode(expired.packet, head))
         {
-            refuse(expired.envelope, head);
+            refuse(now, expired.envelope, head);
         }
     }
 }
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -38,17 +38,18 @@
     };
 
     /** How long others may go on without having heard of a change, at most: a follower hears its
-        leader within 300 ms, an agent its control instance within table_fresh_for. A new member, or
+        leader within 300 ms, a control instance gathers changes for 100 ms, an agent hears its
+        control instance within table_fresh_for. A new member, or
         one of a service that a route newly leads to, takes new flows only after this; so whoever
         resets a flow with a fresh table has asked everyone who can hold it. */
-    static constexpr duration settle_time = std::chrono::milliseconds(700);
+    static constexpr duration settle_time = std::chrono::milliseconds(800);
 
     /** A table that control confirmed longer ago is no ground for resets: a heartbeat of 250 ms,
        and what may delay it. */
     static constexpr duration table_fresh_for = std::chrono::milliseconds(400);
 
-    /** Balancers place by reports that are at most this old. */
-    static constexpr duration report_interval = std::chrono::milliseconds(100);
+    /** How often what waits and what is remembered is looked through. */
+    static constexpr duration tick_interval = std::chrono::milliseconds(100);
 
     packet_agent(const options& own, const packet_format& format, packet_port& port,
                  packet_counters& counters, packet_observer& observer);
@@ -81,8 +82,7 @@
     /** Takes a datagram from the backend server; it may be written to. */
     void take_server_packet(time_point now, char* packet, std::size_t size);
 
-    /** Sends load reports, refuses what waited too long and forgets old flows. Call every
-        report_interval. */
+    /** Refuses what waited too long and forgets old flows. Call every tick_interval. */
     void tick(time_point now);
 
     std::size_t flow_count() const
@@ -160,7 +160,7 @@
                        const client_packet& packet);
     void admit_waiting(time_point now);
     void refuse_expired(time_point now);
-    void refuse(const packet_envelope& envelope, const packet_head& head);
+    void refuse(time_point now, const packet_envelope& envelope, const packet_head& head);
 
     // Flows and packets on their way, in packet_agent_flows.cpp.
     void take_flow_packet(time_point now, const packet_envelope& envelope,
@@ -179,13 +179,15 @@
     void note_reset(packet_reset reason, const packet_envelope& envelope, const packet_head& head);
     void note(const char* what, std::string_view reason, const packet_envelope& envelope,
               const packet_head& head);
-    void tell_holder(const packet_flow& key, const endpoint& balancer);
+    void tell_holder(time_point now, const packet_flow& key, const endpoint& balancer);
+    void tell_absent(time_point now, const packet_flow& key, const endpoint& balancer);
+    void tell_load(time_point now, const endpoint& balancer);
+    packet_envelope describe_load(time_point now, packet_envelope_kind kind) const;
     void release_unanswered(time_point now);
     void start_request(time_point now, flow& item);
     void end_request(time_point now, flow& item, bool was_answered);
     void forget(time_point now, flow_map::iterator item);
     void forget_old_flows(time_point now);
-    void report_load(time_point now);
     const std::string& service() const;
 
     options own_;
@@ -205,7 +207,6 @@
     visit_ring visits_;
     cold_allowance cold_;
     opening_queue waiting_;
-    std::unordered_map<endpoint, time_point> watchers_; ///< Balancers that want load reports.
     std::uint32_t busy_ = 0;
     std::deque<std::pair<time_point, packet_flow>> answered_openings_; ///< Oldest first.
     service_meter meter_;
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -23,9 +23,6 @@
 constexpr duration flow_memory = std::chrono::seconds(20);
 constexpr duration closed_flow_memory = std::chrono::seconds(2);
 
-/** A balancer that doesn't repeat its wish gets no more load reports. */
-constexpr duration watcher_memory = std::chrono::seconds(3);
-
 /** Data of a full packet; a shorter one ends an answer. */
 constexpr std::uint32_t full_packet_bytes = 1200;
 
@@ -35,9 +32,9 @@
                                  std::size_t size)
 {
     ++counters_.received;
-    if (envelope.kind == packet_envelope_kind::watching)
+    if (envelope.kind == packet_envelope_kind::probe)
     {
-        watchers_[envelope.balancer] = now;
+        tell_load(now, envelope.balancer);
         return;
     }
     client_packet packet{{}, data, size};
@@ -100,7 +97,7 @@
     }
     if (item.state == flow_state::open && item.tell_holder)
     {
-        tell_holder(packet.flow(), item.balancer);
+        tell_holder(now, packet.flow(), item.balancer);
         item.tell_holder = false;
     }
     deliver(envelope, packet);
@@ -142,7 +139,7 @@
     }
     if (item.tell_holder && !item.balancer.is_none())
     {
-        tell_holder(key, item.balancer);
+        tell_holder(now, key, item.balancer);
         item.tell_holder = false;
     }
     if (item.state == flow_state::opening && item.is_busy)
@@ -184,6 +181,10 @@
         pass_opening_on(now, envelope, route, packet);
         return;
     }
+    if (envelope.position == 0 && envelope.candidate_count == 1)
+    {
+        tell_absent(now, packet.flow(), envelope.balancer); // It remembers the flow here.
+    }
     endpoint next = next_candidate(envelope);
     if (next.is_none())
     {
@@ -216,7 +217,7 @@
     endpoint next = next_candidate(envelope);
     if (was_final || (next.is_none() && best == 0 && !add_unvisited(envelope, route)))
     {
-        refuse(envelope, packet.head);
+        refuse(now, envelope, packet.head);
         return;
     }
     if (next.is_none() && best != 0)
@@ -231,6 +232,7 @@
         decide_opening(now, envelope, route, packet);
         return;
     }
+    tell_load(now, envelope.balancer);
     port_.send_envelope(next, envelope, packet.bytes());
 }
 
@@ -299,16 +301,46 @@
     observer_.note(decision);
 }
 
-void packet_agent::tell_holder(const packet_flow& key, const endpoint& balancer)
+void packet_agent::tell_holder(time_point now, const packet_flow& key, const endpoint& balancer)
 {
-    packet_envelope told;
-    told.kind = packet_envelope_kind::holder;
-    told.held = table_->held();
+    packet_envelope told = describe_load(now, packet_envelope_kind::holder);
+    told.balancer = balancer;
+    told.flow = key;
+    port_.send_envelope(balancer, told, {});
+}
+
+void packet_agent::tell_absent(time_point now, const packet_flow& key, const endpoint& balancer)
+{
+    packet_envelope told = describe_load(now, packet_envelope_kind::absent);
     told.balancer = balancer;
     told.flow = key;
     port_.send_envelope(balancer, told, {});
 }
 
+void packet_agent::tell_load(time_point now, const endpoint& balancer)
+{
+    packet_envelope told = describe_load(now, packet_envelope_kind::load);
+    told.balancer = balancer;
+    port_.send_envelope(balancer, told, {});
+}
+
+packet_envelope packet_agent::describe_load(time_point now, packet_envelope_kind kind) const
+{
+    packet_envelope told;
+    told.kind = kind;
+    told.held = table_->held();
+    told.load = static_cast<std::uint16_t>(std::min<std::uint32_t>(load() * load_unit, UINT16_MAX));
+    told.service_time = meter_.time();
+    told.slots = static_cast<std::uint8_t>(std::min<std::uint32_t>(server_.slots, UINT8_MAX));
+    const bool takes_new = is_server_known(now) && !server_.is_draining && table_->held() != 0 &&
+                           !table_->is_domain_out(own_.domain);
+    const bool is_bounded =
+        is_cold(now) && (now < cold_until_ || table_->cold_requests_per_s(service()) > 0.0);
+    told.flags = static_cast<std::uint8_t>((takes_new ? 0 : load_flag_closed) |
+                                           (is_bounded ? load_flag_cold : 0));
+    return told;
+}
+
 void packet_agent::start_request(time_point now, flow& item)
 {
     if (item.is_busy)
@@ -360,7 +392,6 @@
     forget_old_flows(now);
     release_unanswered(now);
     admit_waiting(now);
-    report_load(now);
 }
 
 void packet_agent::forget_old_flows(time_point now)
@@ -382,32 +413,4 @@
     }
 }
 
-void packet_agent::report_load(time_point now)
-{
-    packet_envelope report;
-    report.kind = packet_envelope_kind::load;
-    report.held = table_->held();
-    report.load =
-        static_cast<std::uint16_t>(std::min<std::uint32_t>(load() * load_unit, UINT16_MAX));
-    report.service_time = meter_.time();
-    report.slots = static_cast<std::uint8_t>(std::min<std::uint32_t>(server_.slots, UINT8_MAX));
-    const bool takes_new = is_server_known(now) && !server_.is_draining && table_->held() != 0 &&
-                           !table_->is_domain_out(own_.domain);
-    const bool is_bounded =
-        is_cold(now) && (now < cold_until_ || table_->cold_requests_per_s(service()) > 0.0);
-    report.flags = static_cast<std::uint8_t>((takes_new ? 0 : load_flag_closed) |
-                                             (is_bounded ? load_flag_cold : 0));
-    for (auto item = watchers_.begin(); item != watchers_.end();)
-    {
-        if (now - item->second > watcher_memory)
-        {
-            item = watchers_.erase(item);
-            continue;
-        }
-        report.balancer = item->first;
-        port_.send_envelope(item->first, report, {});
-        ++item;
-    }
-}
-
 } // namespace carawayshelf
--- a/modules/carawayshelf_packets/packet_balancer.cpp
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -17,13 +17,30 @@
 constexpr duration suspect_cost = std::chrono::seconds(100);
 
 /** A new flow goes to one of the members that rank first for it, however many the service has: few
-    enough that a balancer which has not heard of the flow asks only them, and enough that the less
-    loaded among them, in one's own failure domain, is nearly the least loaded of all. */
+    enough that a balancer which has not heard of the flow asks only them, and enough that one of
+    them has a free slot. Half of them are of the own failure domain, if it has so many: bytes
+    between failure domains cost, and balancers of a failure domain that is lost are lost with its
+    agents. */
 constexpr std::size_t placed_among = 8;
 
+/** A flow that was not heard of is looked for first among these; more than placed_among, since
+    members may have joined after it was placed. */
+constexpr std::size_t searched_among = 12;
+
 /** Candidates for a new flow: where the first can't take it, the others are asked in turn. */
 constexpr std::size_t most_placements = 4;
 
+load_board::report load_of(const packet_envelope& told)
+{
+    load_board::report report;
+    report.load = static_cast<double>(told.load) / load_unit;
+    report.service_time = told.service_time;
+    report.slots = told.slots;
+    report.is_closed = (told.flags & load_flag_closed) != 0;
+    report.is_cold = (told.flags & load_flag_cold) != 0;
+    return report;
+}
+
 } // namespace
 
 packet_balancer::packet_balancer(const options& own, const packet_format& format, packet_port& port,
@@ -141,7 +158,8 @@
         envelope.add_candidate(known);
     }
     ranked_.clear();
-    rank_members(now, table.members_of(table.pick_service(route, flow_hash)), flow_hash, true);
+    rank_members(now, table.members_of(table.pick_service(route, flow_hash)), flow_hash,
+                 rank_purpose::placing);
     if (ranked_.empty())
     {
         // The picked service has no member that takes new flows; another of the route's may.
@@ -149,7 +167,8 @@
         {
             if (share.weight != 0)
             {
-                rank_members(now, table.members_of(share.service), flow_hash, true);
+                rank_members(now, table.members_of(share.service), flow_hash,
+                             rank_purpose::placing);
             }
         }
     }
@@ -176,13 +195,39 @@
     ranked_.clear();
     for (const std::uint32_t service : route.services)
     {
-        rank_members(now, table.members_of(service), flow_hash, false);
+        rank_members(now, table.members_of(service), flow_hash, rank_purpose::searching);
     }
-    add_ranked(envelope, placed_among);
+    add_ranked(envelope, searched_among);
+    probe_candidates(now, table, envelope);
     add_suspects(now, table, route, envelope);
 }
 
-/** Names those that don't report, so that nobody waits for them before the others are asked. */
+/** The search ends at an agent that doesn't answer. The client sends again after 200 ms; by then
+    the probes have shown which agents are to be asked last. */
+void packet_balancer::probe_candidates(time_point now, const packet_table& table,
+                                       const packet_envelope& envelope)
+{
+    for (std::size_t i = 0; i < envelope.candidate_count && probes_left_ != 0; ++i)
+    {
+        if (loads_.wants_probe(now, envelope.candidates[i]))
+        {
+            probe(table, envelope.candidates[i]);
+        }
+    }
+}
+
+void packet_balancer::probe(const packet_table& table, const endpoint& agent)
+{
+    --probes_left_;
+    ++counters_.probes;
+    packet_envelope asked;
+    asked.kind = packet_envelope_kind::probe;
+    asked.held = table.held();
+    asked.balancer = own_.data;
+    port_.send_envelope(agent, asked, {});
+}
+
+/** Names those that don't answer, so that nobody waits for them before the others are asked. */
 void packet_balancer::add_suspects(time_point now, const packet_table& table,
                                    const packet_route& route, packet_envelope& envelope) const
 {
@@ -204,34 +249,56 @@
 }
 
 void packet_balancer::rank_members(time_point now, const std::vector<packet_member>& members,
-                                   std::uint64_t flow_hash, bool for_new)
+                                   std::uint64_t flow_hash, rank_purpose purpose)
 {
+    const bool is_placing = purpose == rank_purpose::placing;
     const std::size_t already = ranked_.size();
     for (const packet_member& who : members)
     {
         const load_estimate estimate = loads_.estimate(now, who.data);
         const bool is_suspect = estimate.is_suspect || who.is_silent;
-        if (for_new ? !who.takes_new || estimate.is_closed : is_suspect)
+        if (is_placing ? !who.takes_new || estimate.is_closed : is_suspect)
         {
             continue;
         }
         ranked_member ranked;
         ranked.who = &who;
         ranked.rank = rank_holder(flow_hash, who.data);
-        ranked.cost = for_new ? estimate.expected : duration(0);
-        ranked.cost += who.domain == own_.domain ? duration(0) : foreign_domain_cost;
-        ranked.cost += for_new && estimate.is_cold ? cold_cost : duration(0);
+        ranked.is_near = who.domain == own_.domain;
+        ranked.cost = is_placing ? estimate.expected : duration(0);
+        ranked.cost += ranked.is_near ? duration(0) : foreign_domain_cost;
+        const bool is_cold = estimate.is_known ? estimate.is_cold : who.is_cold;
+        ranked.cost += is_placing && is_cold ? cold_cost : duration(0);
         ranked.cost += is_suspect ? suspect_cost : duration(0);
         ranked_.push_back(ranked);
     }
+    keep_first_ranked(already, is_placing ? placed_among : searched_among);
+}
+
+/** Of those behind the first ones, keeps the half that ranks first in the own failure domain, and
+    those that rank first among the others. */
+void packet_balancer::keep_first_ranked(std::size_t already, std::size_t most)
+{
     const auto first = ranked_.begin() + static_cast<std::ptrdiff_t>(already);
-    if (static_cast<std::size_t>(ranked_.end() - first) > placed_among)
+    if (static_cast<std::size_t>(ranked_.end() - first) <= most)
+    {
+        return;
+    }
+    const auto ranks_before = [](const ranked_member& a, const ranked_member& b)
+    {
+        return a.rank > b.rank;
+    };
+    const auto near_end =
+        std::partition(first, ranked_.end(), [](const ranked_member& who) { return who.is_near; });
+    auto kept = near_end;
+    if (static_cast<std::size_t>(near_end - first) > most / 2)
     {
-        std::nth_element(first, first + placed_among, ranked_.end(),
-                         [](const ranked_member& a, const ranked_member& b)
-                         { return a.rank > b.rank; });
-        ranked_.resize(already + placed_among);
+        kept = first + static_cast<std::ptrdiff_t>(most / 2);
+        std::nth_element(first, kept, near_end, ranks_before);
     }
+    const auto end = first + static_cast<std::ptrdiff_t>(most);
+    std::nth_element(kept, end, ranked_.end(), ranks_before);
+    ranked_.resize(already + most);
 }
 
 void packet_balancer::add_ranked(packet_envelope& envelope, std::size_t most)
@@ -259,15 +326,17 @@
     {
     case packet_envelope_kind::holder:
         cache_.put(hash_flow(envelope.flow), sender, now);
+        loads_.take_report(now, sender, load_of(envelope));
         return;
     case packet_envelope_kind::load:
-        loads_.take_report(now, sender,
-                           {static_cast<double>(envelope.load) / load_unit, envelope.service_time,
-                            envelope.slots, (envelope.flags & load_flag_closed) != 0,
-                            (envelope.flags & load_flag_cold) != 0});
+        loads_.take_report(now, sender, load_of(envelope));
+        return;
+    case packet_envelope_kind::absent:
+        cache_.forget(hash_flow(envelope.flow), sender);
+        loads_.take_report(now, sender, load_of(envelope));
         return;
     case packet_envelope_kind::packet:
-    case packet_envelope_kind::watching:
+    case packet_envelope_kind::probe:
         counters_.drops.add(packet_drop::malformed);
         return;
     }
@@ -275,14 +344,14 @@
 
 void packet_balancer::tick(time_point now, const packet_table& table)
 {
+    probes_left_ = most_probes;
     loads_.expire(now);
-    packet_envelope watching;
-    watching.kind = packet_envelope_kind::watching;
-    watching.held = table.held();
-    watching.balancer = own_.data;
-    for (const endpoint& agent : table.all_agents())
+    for (const endpoint& agent : loads_.suspects_to_probe(now, most_probes))
     {
-        port_.send_envelope(agent, watching, {});
+        if (table.has_agent(agent))
+        {
+            probe(table, agent);
+        }
     }
 }
 
--- a/modules/carawayshelf_packets/packet_balancer.hpp
+++ b/modules/carawayshelf_packets/packet_balancer.hpp
@@ -41,11 +41,13 @@
     /** Takes a datagram from an agent. */
     void take_envelope(time_point now, const packet_envelope& envelope, const endpoint& sender);
 
-    /** Asks the agents for load reports. Call every watch_interval. */
+    /** Probes agents that left something unanswered. Call every probe_interval. */
     void tick(time_point now, const packet_table& table);
 
-    /** Agents report to a balancer that asked for it within three of these. */
-    static constexpr duration watch_interval = std::chrono::seconds(1);
+    static constexpr duration probe_interval = std::chrono::milliseconds(200);
+
+    /** Probes that are sent at most in a probe_interval, however many agents are suspect. */
+    static constexpr std::size_t most_probes = 32;
 
 private:
     struct ranked_member
@@ -53,6 +55,13 @@
         const packet_member* who = nullptr;
         duration cost{0};
         std::uint64_t rank = 0;
+        bool is_near = false; ///< In the own failure domain.
+    };
+
+    enum class rank_purpose
+    {
+        placing,
+        searching
     };
 
     void relay(time_point now, const packet_table& table, bool is_fresh, packet_envelope envelope,
@@ -67,9 +76,14 @@
                 packet_envelope& envelope);
     void add_suspects(time_point now, const packet_table& table, const packet_route& route,
                       packet_envelope& envelope) const;
-    /** Adds those of a service that rank first for a flow. */
+    void probe_candidates(time_point now, const packet_table& table,
+                          const packet_envelope& envelope);
+    void probe(const packet_table& table, const endpoint& agent);
+    /** Adds those of a service that rank first for a flow: some of the own failure domain, and
+        others. */
     void rank_members(time_point now, const std::vector<packet_member>& members,
-                      std::uint64_t flow_hash, bool for_new);
+                      std::uint64_t flow_hash, rank_purpose purpose);
+    void keep_first_ranked(std::size_t already, std::size_t most);
     void add_ranked(packet_envelope& envelope, std::size_t most);
 
     options own_;
@@ -81,6 +95,7 @@
     load_board loads_;
     early_packets early_;
     std::vector<ranked_member> ranked_;
+    std::size_t probes_left_ = most_probes; ///< Until the next tick.
 };
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_packets/packet_counters.hpp
+++ b/modules/carawayshelf_packets/packet_counters.hpp
@@ -2,6 +2,7 @@
 
 #include "carawayshelf_core/counter_set.hpp"
 #include "carawayshelf_core/name_table.hpp"
+#include "carawayshelf_wire/packet_envelope.hpp"
 
 #include <atomic>
 #include <cstdint>
@@ -62,6 +63,9 @@
     std::atomic<std::uint64_t> replies{0};
     std::atomic<std::uint64_t> placed{0};   ///< New flows.
     std::atomic<std::uint64_t> searched{0}; ///< Packets of flows that were not in the cache.
+    std::atomic<std::uint64_t> probes{0};   ///< Of agents, by a balancer.
+    counter_set<packet_envelope_kind, packet_envelope_kind_names.size()> sent_envelopes;
+    counter_set<packet_envelope_kind, packet_envelope_kind_names.size()> sent_envelope_bytes;
     counter_set<packet_drop, packet_drop_names.size()> drops;
     counter_set<packet_reset, packet_reset_names.size()> resets;
     counter_set<pass_reason, pass_reason_names.size()> passes;
--- a/modules/carawayshelf_packets/packet_table.cpp
+++ b/modules/carawayshelf_packets/packet_table.cpp
@@ -5,26 +5,73 @@
 namespace carawayshelf
 {
 
+namespace
+{
+
+packet_member make_member(const member& who, const std::set<std::string>& domains_out)
+{
+    packet_member made;
+    made.data = who.data;
+    made.domain = who.domain;
+    made.changed_at = who.changed_at;
+    made.is_silent = who.state == member_state::silent;
+    made.is_cold = who.state == member_state::cold;
+    made.takes_new = !made.is_silent && who.state != member_state::draining &&
+                     domains_out.count(who.domain) == 0;
+    return made;
+}
+
+} // namespace
+
 packet_table::packet_table(const subscriber_table& from, const packet_table& before)
-    : held_(from.held()), removed_routes_(before.removed_routes_), domains_out_(from.domains_out())
+    : held_(from.held()), domains_out_(from.domains_out())
 {
-    for (const auto& [address, route] : before.routes_)
+    if (from.rules())
+    {
+        make_routes(*from.rules(), before);
+    }
+    for (const std::string& service : from.services_with_members())
+    {
+        make_members(from, service);
+    }
+}
+
+packet_table packet_table::update(const subscriber_table& from, const packet_table& before)
+{
+    const table_changes& changes = from.changes();
+    if (changes.is_complete || changes.has_domains)
+    {
+        return packet_table(from, before);
+    }
+    packet_table made = before;
+    made.held_ = from.held();
+    if (changes.has_rules)
+    {
+        made.make_routes(*from.rules(), before);
+    }
+    for (const std::string& service : changes.services)
     {
-        removed_routes_.insert(address);
+        made.make_members(from, service);
     }
-    if (!from.rules())
+    return made;
+}
+
+void packet_table::make_routes(const traffic_rules& rules, const packet_table& before)
+{
+    const std::shared_ptr<route_set> made = std::make_shared<route_set>();
+    made->removed = before.routes_->removed;
+    for (const auto& [address, route] : before.routes_->routes)
     {
-        return;
+        made->removed.insert(address);
     }
-    const traffic_rules& rules = *from.rules();
     for (const service_rules& service : rules.configuration.services)
     {
-        rules_[service.name] = service;
+        made->rules[service.name] = service;
     }
     for (const traffic_route& source : rules.configuration.routes)
     {
-        removed_routes_.erase(source.address);
-        packet_route& route = routes_[source.address];
+        made->removed.erase(source.address);
+        packet_route& route = made->routes[source.address];
         route.requests = source.requests;
         route.timeout_ms = source.timeout_ms;
         route.target_latency_ms = source.target_latency_ms;
@@ -51,50 +98,74 @@
             }
         }
     }
-    for (const auto& [id, who] : from.members())
+    routes_ = made;
+}
+
+void packet_table::make_members(const subscriber_table& from, const std::string& service)
+{
+    const std::shared_ptr<member_list> made = std::make_shared<member_list>();
+    for (const member_id id : from.members_of(service))
     {
-        if (who.protocol != flow_protocol::packets)
+        const member& who = from.members().at(id);
+        if (who.protocol == flow_protocol::packets)
         {
-            continue;
+            made->push_back(make_member(who, domains_out_));
+        }
+    }
+    std::shared_ptr<const member_list>& held = members_[index_of(service)];
+    std::unordered_map<endpoint, int> change;
+    for (const packet_member& who : *held)
+    {
+        --change[who.data];
+    }
+    for (const packet_member& who : *made)
+    {
+        ++change[who.data];
+    }
+    for (const auto& [agent, difference] : change)
+    {
+        for (int i = difference; i < 0; ++i)
+        {
+            agents_.remove(agent);
+        }
+        for (int i = 0; i < difference; ++i)
+        {
+            agents_.add(agent);
         }
-        packet_member added;
-        added.data = who.data;
-        added.domain = who.domain;
-        added.changed_at = who.changed_at;
-        added.is_silent = who.state == member_state::silent;
-        added.takes_new = !added.is_silent && who.state != member_state::draining &&
-                          domains_out_.count(who.domain) == 0;
-        agents_.insert(added.data);
-        members_[index_of(who.service)].push_back(std::move(added));
     }
+    held = made;
 }
 
 std::uint32_t packet_table::index_of(const std::string& service)
 {
-    const auto [found, is_new] =
-        services_.emplace(service, static_cast<std::uint32_t>(members_.size()));
-    if (is_new)
+    const auto found = numbers_->find(service);
+    if (found != numbers_->end())
     {
-        members_.emplace_back();
+        return found->second;
     }
-    return found->second;
+    const std::uint32_t added = static_cast<std::uint32_t>(members_.size());
+    const std::shared_ptr<service_numbers> numbers = std::make_shared<service_numbers>(*numbers_);
+    numbers->emplace(service, added);
+    numbers_ = numbers;
+    members_.push_back(std::make_shared<const member_list>());
+    return added;
 }
 
 const packet_route* packet_table::find_route(const endpoint& address) const
 {
-    const auto found = routes_.find(address);
-    return found == routes_.end() ? nullptr : &found->second;
+    const auto found = routes_->routes.find(address);
+    return found == routes_->routes.end() ? nullptr : &found->second;
 }
 
 const packet_member* packet_table::find_member(const std::string& service,
                                                const endpoint& agent) const
 {
-    const auto found = services_.find(service);
-    if (found == services_.end())
+    const auto found = numbers_->find(service);
+    if (found == numbers_->end())
     {
         return nullptr;
     }
-    const std::vector<packet_member>& members = members_[found->second];
+    const member_list& members = members_of(found->second);
     const auto member =
         std::find_if(members.begin(), members.end(),
                      [&agent](const packet_member& who) { return who.data == agent; });
@@ -117,8 +188,8 @@
 
 bool packet_table::leads_to(const packet_route& route, const std::string& service) const
 {
-    const auto found = services_.find(service);
-    return found != services_.end() &&
+    const auto found = numbers_->find(service);
+    return found != numbers_->end() &&
            std::any_of(route.shares.begin(), route.shares.end(),
                        [&found](const packet_share& share)
                        { return share.service == found->second && share.weight != 0; });
@@ -127,7 +198,7 @@
 std::vector<endpoint> packet_table::routes_leading_to(const std::string& service) const
 {
     std::vector<endpoint> addresses;
-    for (const auto& [address, route] : routes_)
+    for (const auto& [address, route] : routes_->routes)
     {
         if (leads_to(route, service))
         {
@@ -139,21 +210,21 @@
 
 bool packet_table::may_hold(const packet_route& route, const std::string& service) const
 {
-    const auto found = services_.find(service);
-    return found != services_.end() && std::find(route.services.begin(), route.services.end(),
+    const auto found = numbers_->find(service);
+    return found != numbers_->end() && std::find(route.services.begin(), route.services.end(),
                                                  found->second) != route.services.end();
 }
 
 double packet_table::cold_requests_per_s(const std::string& service) const
 {
-    const auto found = rules_.find(service);
-    return found == rules_.end() ? 0.0 : found->second.cold_requests_per_s;
+    const auto found = routes_->rules.find(service);
+    return found == routes_->rules.end() ? 0.0 : found->second.cold_requests_per_s;
 }
 
 std::uint32_t packet_table::max_flows(const std::string& service) const
 {
-    const auto found = rules_.find(service);
-    return found == rules_.end() ? 0 : found->second.max_flows;
+    const auto found = routes_->rules.find(service);
+    return found == routes_->rules.end() ? 0 : found->second.max_flows;
 }
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_packets/packet_table.hpp
+++ b/modules/carawayshelf_packets/packet_table.hpp
@@ -2,7 +2,9 @@
 
 #include "carawayshelf_catalogue/subscriber_table.hpp"
 #include "carawayshelf_catalogue/traffic_configuration.hpp"
+#include "carawayshelf_packets/agent_set.hpp"
 
+#include <memory>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -18,6 +20,7 @@
     std::string domain;
     bool takes_new = false; ///< Its state and its failure domain allow new flows.
     bool is_silent = false;
+    bool is_cold = false;      ///< Its backend server has just started.
     generation changed_at = 0; ///< When it joined, or its state last changed.
 };
 
@@ -40,29 +43,43 @@
     std::vector<std::uint32_t> services; ///< Those of the shares, and earlier ones behind them.
 };
 
-/** Immutable copy of a subscriber's tables for traffic threads. Thread-safe. */
+/** Immutable copy of a subscriber's tables for traffic threads. A table shares what an update left
+   as it was with the one before it, so that making it costs in proportion to the change.
+   Thread-safe.
+ */
 class packet_table
 {
 public:
     packet_table() = default;
 
-    /** @param before  the table that this one replaces; routes that it had and this one lacks are
+    /** Makes the table anew as a whole.
+        @param before  the table that this one replaces; routes that it had and this one lacks are
                        known as removed */
     packet_table(const subscriber_table& from, const packet_table& before);
 
+    /** The table after an update: makes anew what changed, as from.changes() says, and shares the
+        rest. Precondition: before was made from the tables as they were before that update. */
+    static packet_table update(const subscriber_table& from, const packet_table& before);
+
     /** The route of an address, or nullptr. */
     const packet_route* find_route(const endpoint& address) const;
 
     /** Whether an address had a route earlier. */
     bool had_route(const endpoint& address) const
     {
-        return removed_routes_.count(address) != 0;
+        return routes_->removed.count(address) != 0;
+    }
+
+    /** Whether both tables share their routes. */
+    bool has_routes_of(const packet_table& other) const
+    {
+        return routes_ == other.routes_;
     }
 
     /** Whether an agent has a member here. */
     bool has_agent(const endpoint& agent) const
     {
-        return agents_.count(agent) != 0;
+        return agents_.contains(agent);
     }
 
     /** The member of a service that an agent has, or nullptr. */
@@ -71,7 +88,7 @@
     /** Members of a service. Precondition: the index comes from a route of this table. */
     const std::vector<packet_member>& members_of(std::uint32_t service) const
     {
-        return members_[service];
+        return *members_[service];
     }
 
     /** Service that a new flow goes to, by the route's weights and the flow's hash. */
@@ -102,22 +119,27 @@
         return held_;
     }
 
-    /** Every agent that has a member here. */
-    const std::unordered_set<endpoint>& all_agents() const
+private:
+    using member_list = std::vector<packet_member>;
+    using service_numbers = std::unordered_map<std::string, std::uint32_t>;
+
+    /** What follows from the traffic configuration alone. */
+    struct route_set
     {
-        return agents_;
-    }
+        std::unordered_map<endpoint, packet_route> routes;
+        std::unordered_set<endpoint> removed;
+        std::unordered_map<std::string, service_rules> rules;
+    };
 
-private:
+    void make_routes(const traffic_rules& rules, const packet_table& before);
+    void make_members(const subscriber_table& from, const std::string& service);
     std::uint32_t index_of(const std::string& service);
 
     generation held_ = 0;
-    std::unordered_map<endpoint, packet_route> routes_;
-    std::unordered_set<endpoint> removed_routes_;
-    std::unordered_set<endpoint> agents_;
-    std::vector<std::vector<packet_member>> members_;
-    std::unordered_map<std::string, std::uint32_t> services_;
-    std::unordered_map<std::string, service_rules> rules_;
+    std::shared_ptr<const route_set> routes_ = std::make_shared<const route_set>();
+    agent_set agents_;
+    std::vector<std::shared_ptr<const member_list>> members_; ///< By the services' numbers.
+    std::shared_ptr<const service_numbers> numbers_ = std::make_shared<const service_numbers>();
     std::set<std::string> domains_out_;
 };
 
--- a/modules/carawayshelf_wire/packet_envelope.hpp
+++ b/modules/carawayshelf_wire/packet_envelope.hpp
@@ -15,14 +15,15 @@
 /** What a datagram between packet balancers and packet agents is for. */
 enum class packet_envelope_kind : std::uint8_t
 {
-    packet,  ///< Carries a client's packet.
-    holder,  ///< Tells a balancer which agent holds a flow.
-    load,    ///< Tells a balancer how loaded an agent's backend server is.
-    watching ///< A balancer asks an agent for its load reports.
+    packet, ///< Carries a client's packet.
+    holder, ///< Tells a balancer which agent holds a flow, and that agent's load.
+    load,   ///< Tells a balancer how loaded an agent's backend server is.
+    probe,  ///< A balancer asks an agent for its load.
+    absent  ///< Tells a balancer that an agent doesn't hold a flow, and that agent's load.
 };
 
-inline constexpr name_table<packet_envelope_kind, 4> packet_envelope_kind_names{
-    {"packet", "holder", "load", "watching"}};
+inline constexpr name_table<packet_envelope_kind, 5> packet_envelope_kind_names{
+    {"packet", "holder", "load", "probe", "absent"}};
 
 /** Agents that an envelope names: those where a flow is looked for first, or may be placed. */
 constexpr std::size_t max_candidates = 16;
@@ -39,7 +40,7 @@
 inline constexpr name_table<walk_phase, 4> walk_phase_names{
     {"none", "members", "changed", "silent"}};
 
-/** Bits of packet_envelope::flags in a load report. */
+/** Bits of packet_envelope::flags where an agent tells its load. */
 constexpr std::uint8_t load_flag_closed = 1; ///< Takes no new flow.
 constexpr std::uint8_t load_flag_cold = 2;   ///< Takes few new flows.
 
@@ -51,7 +52,7 @@
 constexpr std::uint8_t opening_flag_early = 0x40;
 constexpr std::uint8_t opening_flag_final = 0x80;
 
-/** Load reports count in parts of one request under way. */
+/** Loads are counted in parts of one request under way. */
 constexpr std::uint16_t load_unit = 64;
 
 /** Header of a datagram between packet balancers and packet agents. */
@@ -60,10 +61,10 @@
     packet_envelope_kind kind = packet_envelope_kind::packet;
     generation held = 0; ///< Newest table that a sender on the way held.
     endpoint balancer;   ///< The balancer that took the packet, or that is told something.
-    packet_flow flow;    ///< For holder.
+    packet_flow flow;    ///< For holder and absent.
     std::uint16_t load = 0;
-    duration service_time{0}; ///< In a load report: of a request that finds a free slot.
-    std::uint8_t slots = 0;   ///< In a load report: requests that are served at once.
+    duration service_time{0}; ///< With a load: of a request that finds a free slot.
+    std::uint8_t slots = 0;   ///< With a load: requests that are served at once.
     std::uint8_t flags = 0;
     std::uint8_t position = 0; ///< Candidates before this one have returned the packet.
     std::uint8_t candidate_count = 0;
--- /dev/null
+++ b/tests/unit/packet_table_test.cpp
@@ -0,0 +1,214 @@
+/** @file
+    Tables for traffic threads: what an update leaves as it was is shared, what it changes is as in a
+    table that is made anew.
+*/
+#include "carawayshelf_catalogue/cluster_state.hpp"
+#include "carawayshelf_packets/packet_table.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+const std::vector<std::string> service_names = {"ordering", "catalogue", "stranger"};
+
+endpoint address_of(std::size_t service)
+{
+    return {0xC6120001, static_cast<std::uint16_t>(443 + service)};
+}
+
+endpoint agent_at(std::uint32_t number)
+{
+    return {0x0A000000 + number, 7000};
+}
+
+/** A state, a subscriber and the tables that follow from its updates. */
+struct table_bench
+{
+    table_bench()
+    {
+        put_routes(service_names.size());
+    }
+
+    void put_routes(std::size_t count)
+    {
+        traffic_configuration configuration;
+        configuration.version = ++version;
+        for (const std::string& name : service_names)
+        {
+            configuration.services.push_back({name, 0, 0.0});
+        }
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            traffic_route route;
+            route.name = service_names[i];
+            route.address = address_of(i);
+            route.timeout_ms = 500;
+            route.shares = {{service_names[i], 1}};
+            configuration.routes.push_back(route);
+        }
+        state.apply(++made, replace_configuration{configuration});
+    }
+
+    void join(std::uint32_t number, const std::string& service)
+    {
+        announce_member edit;
+        edit.name = std::to_string(number);
+        edit.domain = number % 2 == 0 ? "cuyo-a" : "cuyo-b";
+        edit.service = service;
+        edit.data = agent_at(number);
+        edit.epoch = ++made;
+        edit.protocol = flow_protocol::packets;
+        edit.state = member_state::warm;
+        state.apply(++made, edit);
+    }
+
+    void follow()
+    {
+        held.apply(state.collect_update(held.held(), ""));
+        whole = packet_table(held, whole);
+        table = packet_table::update(held, table);
+    }
+
+    std::uint64_t version = 0;
+    generation made = 0;
+    cluster_state state;
+    subscriber_table held;
+    packet_table table; ///< By updates.
+    packet_table whole; ///< Made anew each time.
+};
+
+std::vector<endpoint> members_of(const packet_table& table, std::size_t service)
+{
+    std::vector<endpoint> members;
+    const packet_route* route = table.find_route(address_of(service));
+    if (route != nullptr)
+    {
+        for (const packet_member& who : table.members_of(route->services.front()))
+        {
+            members.push_back(who.data);
+        }
+    }
+    std::sort(members.begin(), members.end());
+    return members;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(packet_tables)
+
+BOOST_AUTO_TEST_CASE(an_update_shares_what_it_does_not_change)
+{
+    table_bench bench;
+    for (std::uint32_t i = 1; i <= 300; ++i)
+    {
+        bench.join(i, service_names[i % 2]);
+    }
+    bench.follow();
+    const packet_table before = bench.table;
+    bench.join(301, "ordering");
+    bench.follow();
+    BOOST_TEST(bench.table.has_routes_of(before));
+    const std::uint32_t ordering = before.find_route(address_of(0))->services.front();
+    const std::uint32_t catalogue = before.find_route(address_of(1))->services.front();
+    BOOST_TEST(&bench.table.members_of(catalogue) == &before.members_of(catalogue));
+    BOOST_TEST(bench.table.members_of(ordering).size() == before.members_of(ordering).size() + 1);
+    BOOST_TEST(bench.table.has_agent(agent_at(301)));
+    BOOST_TEST(!before.has_agent(agent_at(301)));
+}
+
+BOOST_AUTO_TEST_CASE(an_update_is_as_long_as_what_changed)
+{
+    table_bench bench;
+    for (std::uint32_t i = 1; i <= 300; ++i)
+    {
+        bench.join(i, "ordering");
+    }
+    bench.follow();
+    bench.join(301, "ordering");
+    const table_update update = bench.state.collect_update(bench.held.held(), "");
+    BOOST_TEST(!update.complete);
+    BOOST_TEST(update.members.size() == 1U);
+    BOOST_TEST(update.rules == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(tables_by_updates_are_those_made_anew)
+{
+    std::mt19937 random(20261204);
+    const auto pick = [&random](std::uint32_t below)
+    {
+        return std::uniform_int_distribution<std::uint32_t>(0, below - 1)(random);
+    };
+    table_bench bench;
+    for (int step = 0; step < 2000; ++step)
+    {
+        const std::map<member_id, member>& members = bench.state.data().members;
+        const auto member = std::next(members.begin(), members.empty() ? 0 : pick(members.size()));
+        switch (pick(8))
+        {
+        case 0:
+        case 1:
+        case 2:
+            bench.join(1 + pick(40), service_names[pick(3)]);
+            break;
+        case 3:
+            if (member != members.end())
+            {
+                bench.state.apply(++bench.made, retire_member{member->first});
+            }
+            break;
+        case 4:
+        case 5:
+            if (member != members.end())
+            {
+                bench.state.apply(++bench.made,
+                                  set_member_state{member->first, member_state(pick(4))});
+            }
+            break;
+        case 6:
+            bench.put_routes(1 + pick(3));
+            break;
+        default:
+        {
+            mark_domain edit;
+            edit.domain = "cuyo-a";
+            edit.out = pick(2) == 0;
+            edit.is_unconditional = true;
+            bench.state.apply(++bench.made, edit);
+        }
+        }
+        if (pick(3) == 0)
+        {
+            bench.follow();
+            BOOST_REQUIRE(bench.table.held() == bench.whole.held());
+            for (std::size_t i = 0; i < service_names.size(); ++i)
+            {
+                BOOST_REQUIRE((members_of(bench.table, i) == members_of(bench.whole, i)));
+                BOOST_REQUIRE(bench.table.had_route(address_of(i)) ==
+                              bench.whole.had_route(address_of(i)));
+                for (std::uint32_t number = 1; number <= 40; ++number)
+                {
+                    const packet_member* by_update =
+                        bench.table.find_member(service_names[i], agent_at(number));
+                    const packet_member* anew =
+                        bench.whole.find_member(service_names[i], agent_at(number));
+                    BOOST_REQUIRE((by_update == nullptr) == (anew == nullptr));
+                    BOOST_REQUIRE(
+                        (by_update == nullptr || by_update->takes_new == anew->takes_new));
+                    BOOST_REQUIRE(bench.table.has_agent(agent_at(number)) ==
+                                  bench.whole.has_agent(agent_at(number)));
+                }
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace carawayshelf
