Changes are gathered into one update each 100 ms; frames are counted by kind

A release makes some 46 generations a second, and each went to each daemon by itself, which answered with a heartbeat beside its own each 250 ms. Sent envelopes and frames and their bytes are counted by kind on the metrics address.

--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -531,7 +531,7 @@
         }
         state_ = std::move(*decoded);
         counters_.generation = state_.data().held;
-        is_update_due_ = true;
+        updates_.note_change();
     }
     if (output.hard)
     {
@@ -562,7 +562,7 @@
         }
         result = state_.apply(record.index, *edit);
         counters_.generation = state_.data().held;
-        is_update_due_ = true;
+        updates_.note_change();
     }
     finish_proposal(record, result);
 }
@@ -601,9 +601,8 @@
         core_->tick(steady_now());
         pump();
     }
-    if (is_update_due_)
+    if (updates_.take_due(steady_now()))
     {
-        is_update_due_ = false;
         send_updates();
     }
     timer_.expires_after(tick_interval);
@@ -671,7 +670,7 @@
 
 std::vector<metric_sample> control_server::samples() const
 {
-    return {
+    std::vector<metric_sample> samples = {
         {"control_requests_total", "accepted", static_cast<double>(counters_.accepted)},
         {"control_requests_total", "refused", static_cast<double>(counters_.refused)},
         {"control_requests_total", "forwarded", static_cast<double>(counters_.forwarded)},
@@ -686,6 +685,8 @@
         {"control_term", "", static_cast<double>(counters_.term), false},
         {"control_is_leader", "", static_cast<double>(counters_.is_leader), false},
     };
+    add_frame_samples(samples, "control");
+    return samples;
 }
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_io/control_server.hpp
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -12,6 +12,7 @@
 #include "carawayshelf_io/peer_links.hpp"
 #include "carawayshelf_io/platform_binding.hpp"
 #include "carawayshelf_io/settings.hpp"
+#include "carawayshelf_io/update_gatherer.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -190,7 +191,7 @@
     bool was_leader_ = false;
     instance_id last_leader_ = 0;
     bool is_pump_scheduled_ = false;
-    bool is_update_due_ = false;
+    update_gatherer updates_;
     std::map<std::pair<generation, std::string>, std::shared_ptr<const std::string>> encoded_;
     failure stop_reason_;
     control_counters counters_;
--- a/modules/carawayshelf_io/control_server_subscribers.cpp
+++ b/modules/carawayshelf_io/control_server_subscribers.cpp
@@ -74,7 +74,7 @@
     has_been_current_ = has_been_current_ || is_confirmed();
     if (!has_been_current_)
     {
-        is_update_due_ = true;
+        updates_.note_change();
         return;
     }
     const generation current = state_.data().held;
@@ -97,7 +97,7 @@
         }
         bytes = std::make_shared<const std::string>(encode_frame(update));
     }
-    to.connection->send_encoded(bytes);
+    to.connection->send_encoded(frame_kind::update, bytes);
     ++counters_.updates_sent;
     counters_.update_bytes += bytes->size();
     to.sent = current;
--- a/modules/carawayshelf_io/frame_connection.cpp
+++ b/modules/carawayshelf_io/frame_connection.cpp
@@ -83,10 +83,10 @@
 
 void frame_connection::send(const frame& value)
 {
-    send_encoded(std::make_shared<const std::string>(encode_frame(value)));
+    send_encoded(kind_of(value), std::make_shared<const std::string>(encode_frame(value)));
 }
 
-void frame_connection::send_encoded(std::shared_ptr<const std::string> bytes)
+void frame_connection::send_encoded(frame_kind kind, std::shared_ptr<const std::string> bytes)
 {
     if (!is_open_)
     {
@@ -98,6 +98,7 @@
         close(make_failure(error_kind::unreachable, "the peer reads too slowly"));
         return;
     }
+    sent_frames().add(kind, bytes->size());
     waiting_.push_back(std::move(bytes));
     if (waiting_.size() == 1)
     {
--- a/modules/carawayshelf_io/frame_connection.hpp
+++ b/modules/carawayshelf_io/frame_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "carawayshelf_core/endpoint.hpp"
 #include "carawayshelf_core/error.hpp"
+#include "carawayshelf_io/frame_counters.hpp"
 #include "carawayshelf_wire/frame_codec.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -37,7 +38,7 @@
     void send(const frame& value);
 
     /** Sends a frame that encode_frame() made, so that many connections can share it. */
-    void send_encoded(std::shared_ptr<const std::string> bytes);
+    void send_encoded(frame_kind kind, std::shared_ptr<const std::string> bytes);
 
     /** Closes, and calls the close handler once. */
     void close(const failure& why);
--- /dev/null
+++ b/modules/carawayshelf_io/frame_counters.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "carawayshelf_core/counter_set.hpp"
+#include "carawayshelf_core/name_table.hpp"
+#include "carawayshelf_wire/frame_codec.hpp"
+
+#include <cstddef>
+
+namespace carawayshelf
+{
+
+/** What a frame between control instances, daemons and operators is for. */
+enum class frame_kind
+{
+    hello,
+    consensus,
+    digest,
+    subscription,
+    heartbeat,
+    heartbeat_answer,
+    update,
+    request,
+    reply,
+    parcel
+};
+
+inline constexpr name_table<frame_kind, 10> frame_kind_names{
+    {"hello", "consensus", "digest", "subscription", "heartbeat", "heartbeat_answer", "update",
+     "request", "reply", "parcel"}};
+
+/** The kind of a frame. */
+frame_kind kind_of(const frame& value);
+
+/** Frames that this process has sent, and their bytes; any thread may read them. */
+struct frame_counters
+{
+    counter_set<frame_kind, frame_kind_names.size()> messages;
+    counter_set<frame_kind, frame_kind_names.size()> bytes;
+
+    void add(frame_kind kind, std::size_t size)
+    {
+        messages.add(kind);
+        bytes.add(kind, size);
+    }
+};
+
+/** Those of this process. Thread-safe. */
+frame_counters& sent_frames();
+
+} // namespace carawayshelf
--- a/modules/carawayshelf_io/metrics_page.hpp
+++ b/modules/carawayshelf_io/metrics_page.hpp
@@ -2,6 +2,7 @@
 
 #include "carawayshelf_core/endpoint.hpp"
 #include "carawayshelf_core/error.hpp"
+#include "carawayshelf_io/frame_counters.hpp"
 #include "carawayshelf_io/http_server.hpp"
 
 #include <functional>
@@ -35,6 +36,15 @@
     }
 }
 
+/** Appends the frames that this process has sent, by kind. */
+inline void add_frame_samples(std::vector<metric_sample>& samples, const std::string& role)
+{
+    add_reason_samples(samples, role + "_sent_frames_total", frame_kind_names,
+                       sent_frames().messages);
+    add_reason_samples(samples, role + "_sent_frame_bytes_total", frame_kind_names,
+                       sent_frames().bytes);
+}
+
 /** Appends one sample for each status that an HTTP server has answered with. */
 inline void add_answer_samples(std::vector<metric_sample>& samples, const std::string& metric,
                                const http_server& server)
--- a/modules/carawayshelf_io/packet_samples.cpp
+++ b/modules/carawayshelf_io/packet_samples.cpp
@@ -12,6 +12,12 @@
         {role + "_placed_total", "", static_cast<double>(counters.placed)},
         {role + "_searched_total", "", static_cast<double>(counters.searched)},
     };
+    samples.push_back({role + "_probes_total", "", static_cast<double>(counters.probes)});
+    add_reason_samples(samples, role + "_sent_envelopes_total", packet_envelope_kind_names,
+                       counters.sent_envelopes);
+    add_reason_samples(samples, role + "_sent_envelope_bytes_total", packet_envelope_kind_names,
+                       counters.sent_envelope_bytes);
+    add_frame_samples(samples, role);
     add_reason_samples(samples, role + "_dropped_total", packet_drop_names, counters.drops);
     add_reason_samples(samples, role + "_resets_total", packet_reset_names, counters.resets);
     add_reason_samples(samples, role + "_passed_total", pass_reason_names, counters.passes);
--- /dev/null
+++ b/modules/carawayshelf_io/update_gatherer.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "carawayshelf_core/clock_time.hpp"
+
+namespace carawayshelf
+{
+
+/** When a control instance sends its daemons what changed. The first change after a pause goes out
+    at once; those that follow within the gather time go out together at its end, so that a release
+    of many backend servers costs each daemon a bounded number of updates. Answers releases, and the
+    joins after an outage. Not thread-safe. */
+class update_gatherer
+{
+public:
+    /** A change waits here for no longer than this. */
+    static constexpr duration gather_time = std::chrono::milliseconds(100);
+
+    /** Something changed that daemons must hear of. */
+    void note_change()
+    {
+        has_change_ = true;
+    }
+
+    /** Whether an update is to be sent now. Then it counts as sent. */
+    bool take_due(time_point now)
+    {
+        if (!has_change_ || now - sent_ < gather_time)
+        {
+            return false;
+        }
+        has_change_ = false;
+        sent_ = now;
+        return true;
+    }
+
+private:
+    bool has_change_ = false;
+    time_point sent_;
+};
+
+} // namespace carawayshelf
