--- a/tests/fakes/packet_world.cpp
+++ b/tests/fakes/packet_world.cpp
@@ -258,6 +258,23 @@
     node.is_ready = true;
     node.core->release_early(now_, *node.traffic_table, true);
     node.core->tick(now_, *node.traffic_table);
+    if (broken_.tables_set_off_probes)
+    {
+        probe_all(node);
+    }
+}
+
+/** As many probes as a deployment of a few hundred agents would get. */
+void packet_world::probe_all(balancer_node& node)
+{
+    constexpr std::size_t probes = 240;
+    packet_envelope probe;
+    probe.kind = packet_envelope_kind::probe;
+    probe.balancer = node.data;
+    for (std::size_t i = 0; i < probes; ++i)
+    {
+        deliver_envelope(node.data, agents_[i % agents_.size()]->data, probe, {});
+    }
 }
 
 void packet_world::publish_to(agent_node& node)
--- a/tests/fakes/packet_world.hpp
+++ b/tests/fakes/packet_world.hpp
@@ -48,12 +48,13 @@
 /** Rules that a test can break, to show that the checks catch it. */
 struct broken_packet_rules
 {
-    bool others_unknown = false;       ///< Agents hear of no member but themselves.
-    bool departures_hidden = false;    ///< Balancers don't hear of members that left.
-    bool drain_not_announced = false;  ///< The gate isn't told that its server drains.
-    bool drain_not_recorded = false;   ///< It is acknowledged before control has recorded it.
-    bool packet_changed = false;       ///< An agent changes what it carries.
-    bool wrong_service_served = false; ///< The gate takes its server for one of another service.
+    bool others_unknown = false;        ///< Agents hear of no member but themselves.
+    bool departures_hidden = false;     ///< Balancers don't hear of members that left.
+    bool drain_not_announced = false;   ///< The gate isn't told that its server drains.
+    bool drain_not_recorded = false;    ///< It is acknowledged before control has recorded it.
+    bool packet_changed = false;        ///< An agent changes what it carries.
+    bool wrong_service_served = false;  ///< The gate takes its server for one of another service.
+    bool tables_set_off_probes = false; ///< Each table makes a balancer probe all agents.
 };
 
 /** Balancers, agents, backend servers, clients and a control whose news arrive late, in virtual
@@ -112,6 +113,7 @@
     void publish_soon();
     void publish_to(balancer_node& node);
     void publish_to(agent_node& node);
+    void probe_all(balancer_node& node);
     void confirm_all();
     traffic_configuration make_configuration() const;
     void put_configuration();
@@ -125,6 +127,8 @@
     void start_balancer(std::size_t index);
 
     // Packets, in packet_world_traffic.cpp.
+    bool pass_link(const endpoint& from, const packet_envelope& envelope, std::size_t packet_bytes,
+                   duration& waits);
     void open_flow(std::uint32_t pick);
     void send_opening(std::size_t flow, std::uint32_t copy);
     void send_request(std::size_t flow, std::uint32_t attempt);
--- a/tests/fakes/packet_world_nodes.hpp
+++ b/tests/fakes/packet_world_nodes.hpp
@@ -81,6 +81,7 @@
     std::unique_ptr<packet_balancer> core;
     time_point confirmed;
     bool is_ready = false;
+    time_point link_free; ///< When its link has sent what waits.
 };
 
 struct packet_world::agent_node : world_node
--- a/tests/fakes/packet_world_traffic.cpp
+++ b/tests/fakes/packet_world_traffic.cpp
@@ -15,6 +15,11 @@
 constexpr std::uint32_t loss_one_in = 100;
 constexpr std::uint32_t answer_bytes = 100;
 
+/** Link of a balancer: thin for a few hundred agents, with a queue of at most so long. */
+constexpr std::uint64_t link_bytes_per_s = 20000;
+constexpr duration longest_link_queue = std::chrono::milliseconds(500);
+constexpr std::size_t datagram_overhead_bytes = 28; ///< Heads of IP and UDP.
+
 /** News of a domain's mark reach an agent in touch sooner than this. */
 constexpr duration news_limit = std::chrono::milliseconds(400);
 
@@ -103,10 +108,38 @@
        });
 }
 
+/** Sends a datagram through the sender's link, if that is a balancer. Returns false where the
+   link's queue is full.
+    @param waits  is set to how long it waits and takes */
+bool packet_world::pass_link(const endpoint& from, const packet_envelope& envelope,
+                             std::size_t packet_bytes, duration& waits)
+{
+    for (const std::unique_ptr<balancer_node>& node : balancers_)
+    {
+        if (node->data != from)
+        {
+            continue;
+        }
+        std::array<std::uint8_t, max_packet_envelope_bytes> header{};
+        const std::size_t bytes = encode_packet_envelope(envelope, header.data()) + packet_bytes +
+                                  datagram_overhead_bytes;
+        const time_point starts = std::max(now_, node->link_free);
+        if (starts - now_ > longest_link_queue)
+        {
+            return false;
+        }
+        node->link_free = starts + std::chrono::microseconds(bytes * 1'000'000 / link_bytes_per_s);
+        waits = node->link_free - now_;
+    }
+    return true;
+}
+
 void packet_world::deliver_envelope(const endpoint& from, const endpoint& to,
                                     const packet_envelope& envelope, const std::string& packet)
 {
-    if (loses_datagrams_ && random(loss_one_in) == 0)
+    duration waits{0};
+    if (!pass_link(from, envelope, packet.size(), waits) ||
+        (loses_datagrams_ && random(loss_one_in) == 0))
     {
         return;
     }
@@ -117,7 +150,7 @@
         changed.content ^= 1U;
         carried = test_packets::encode(changed);
     }
-    at(delay(),
+    at(delay() + waits,
        [this, from, to, envelope, carried]() mutable
        {
            for (const std::unique_ptr<agent_node>& node : agents_)
--- a/tests/unit/packet_history_test.cpp
+++ b/tests/unit/packet_history_test.cpp
@@ -105,7 +105,7 @@
         const char* name;
         broken_packet_rules broken;
     };
-    std::vector<rule_case> cases(6);
+    std::vector<rule_case> cases(7);
     cases[0].name = "agents know no others";
     cases[0].broken.others_unknown = true;
     cases[1].name = "departures hidden";
@@ -118,6 +118,8 @@
     cases[4].broken.wrong_service_served = true;
     cases[5].name = "drain acknowledged before it is recorded";
     cases[5].broken.drain_not_recorded = true;
+    cases[6].name = "tables set off probes of all agents";
+    cases[6].broken.tables_set_off_probes = true;
     for (const rule_case& item : cases)
     {
         std::string violation;
--- a/tests/unit/packet_table_test.cpp
+++ b/tests/unit/packet_table_test.cpp
@@ -1,6 +1,6 @@
 /** @file
-    Tables for traffic threads: what an update leaves as it was is shared, what it changes is as in a
-    table that is made anew.
+    Tables for traffic threads: what an update leaves as it was is shared, what it changes is as in
+   a table that is made anew.
 */
 #include "carawayshelf_catalogue/cluster_state.hpp"
 #include "carawayshelf_packets/packet_table.hpp"
