A model of the platform with a load and experiment tool: carawayshelf-lab

The real decision code of balancers and agents between modelled clients, links, servers and control news, in virtual time; policies side by side over seeds, a table and an SVG plot. Scenarios in lab/. How a balancer picks is now a policy of its own (placement_policy), as is how many requests an agent gives its server ahead.

Loads told with answers cost as much at any size.

--- a/modules/carawayshelf_io/packet_balancer_daemon.cpp
+++ b/modules/carawayshelf_io/packet_balancer_daemon.cpp
@@ -27,6 +27,15 @@
 /** A table that control confirmed longer ago is no ground for resets. */
 constexpr duration table_fresh_for = packet_agent::table_fresh_for;
 
+packet_balancer::options make_options(const balancer_settings& settings)
+{
+    packet_balancer::options own;
+    own.data = settings.data;
+    own.domain = settings.domain;
+    own.flow_cache_entries = settings.flow_cache_entries;
+    return own;
+}
+
 /** The traffic thread of a packet balancer. */
 class packet_balancer_worker
 {
@@ -34,8 +43,7 @@
     packet_balancer_worker(const balancer_settings& settings, const platform_binding& platform,
                            packet_counters& counters)
         : settings_(settings), sockets_(platform.packets(), settings.entry.port, counters),
-          core_({settings.data, settings.domain, settings.flow_cache_entries}, platform.packets(),
-                sockets_, counters, decisions_),
+          core_(make_options(settings), platform.packets(), sockets_, counters, decisions_),
           counters_(counters), table_(std::make_shared<const packet_table>())
     {
     }
--- /dev/null
+++ b/modules/carawayshelf_lab/model_server.cpp
@@ -0,0 +1,168 @@
+#include "carawayshelf_lab/model_server.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace carawayshelf::lab
+{
+
+namespace
+{
+
+constexpr duration failure_time = std::chrono::milliseconds(1);
+constexpr std::uint32_t full_packet_bytes = 1200;
+
+} // namespace
+
+model_server::model_server(event_queue& events, const lab_service& service, std::mt19937_64& random,
+                           const std::vector<lab_requests>& requests, sender send)
+    : events_(events), service_(service), random_(random), requests_(requests),
+      send_(std::move(send))
+{
+}
+
+void model_server::start()
+{
+    stop();
+    ++life_;
+    is_up_ = true;
+    is_draining_ = false;
+    started_ = events_.now();
+}
+
+void model_server::stop()
+{
+    is_up_ = false;
+    flows_.clear();
+    queue_.clear();
+    busy_ = 0;
+}
+
+duration model_server::cold_left() const
+{
+    return std::max(started_ + service_.cold_for - events_.now(), duration(0));
+}
+
+void model_server::take(const model_packets::layout& packet)
+{
+    if (!is_up_)
+    {
+        return;
+    }
+    const packet_flow key{packet.head.source, packet.head.destination};
+    const auto found = flows_.find(key);
+    if (packet.head.is_opening)
+    {
+        held_flow& flow = found == flows_.end() ? flows_[key] : found->second;
+        flow.number = flow.number == 0 ? ++last_number_ : flow.number;
+        model_packets::layout reply;
+        reply.head.source = key.service;
+        reply.head.destination = key.client;
+        reply.server_number = flow.number;
+        send_(reply);
+        return;
+    }
+    if (found == flows_.end() || found->second.number != packet.server_number)
+    {
+        model_packets::layout returned = packet;
+        returned.head.is_returned = true;
+        send_(returned);
+        return;
+    }
+    if (packet.head.is_finish)
+    {
+        flows_.erase(found);
+        return;
+    }
+    if (packet.head.data_bytes != 0)
+    {
+        take_request(packet, found->second);
+    }
+}
+
+void model_server::take_request(const model_packets::layout& packet, held_flow& flow)
+{
+    if (packet.request <= flow.last_request)
+    {
+        return; // Sent again; its answer comes.
+    }
+    flow.last_request = packet.request;
+    if (busy_ < service_.slots)
+    {
+        run(packet);
+    }
+    else if (queue_.size() < service_.queue)
+    {
+        queue_.push_back(packet);
+    }
+    else
+    {
+        answer(packet, 0, false, true);
+    }
+}
+
+const lab_requests& model_server::requests_of(const model_packets::layout& packet) const
+{
+    return requests_[packet.head.destination.port - 1U];
+}
+
+duration model_server::draw_work(const lab_requests& requests)
+{
+    // Lognormal with the stated mean.
+    const double sigma = requests.spread;
+    std::lognormal_distribution<double> factor(-sigma * sigma / 2.0, sigma);
+    const double cold = cold_left() > duration(0) ? service_.cold_factor : 1.0;
+    return duration(static_cast<std::int64_t>(static_cast<double>(requests.work.count()) *
+                                              factor(random_) * slowness_ * cold));
+}
+
+void model_server::run(const model_packets::layout& packet)
+{
+    ++busy_;
+    ++runs_;
+    const bool is_failure = is_failing_;
+    const duration takes = is_failure ? failure_time : draw_work(requests_of(packet));
+    events_.after(takes,
+                  [this, packet, is_failure, life = life_]
+                  {
+                      if (life == life_ && is_up_)
+                      {
+                          finish(packet, is_failure);
+                      }
+                  });
+}
+
+void model_server::finish(const model_packets::layout& packet, bool is_failure)
+{
+    --busy_;
+    answer(packet, requests_of(packet).answer_bytes, is_failure, false);
+    if (!queue_.empty() && busy_ < service_.slots)
+    {
+        const model_packets::layout next = queue_.front();
+        queue_.pop_front();
+        run(next);
+    }
+}
+
+void model_server::answer(const model_packets::layout& packet, std::uint32_t bytes,
+                          bool is_failure, bool has_not_run)
+{
+    model_packets::layout reply;
+    reply.head.source = packet.head.destination;
+    reply.head.destination = packet.head.source;
+    reply.request = packet.request;
+    reply.server_number = packet.server_number;
+    reply.is_failure = is_failure;
+    reply.has_not_run = has_not_run;
+    reply.closes = is_draining_;
+    for (std::uint32_t left = bytes; left >= full_packet_bytes; left -= full_packet_bytes)
+    {
+        reply.head.data_bytes = full_packet_bytes;
+        send_(reply);
+    }
+    reply.head.data_bytes = std::max<std::uint32_t>(bytes % full_packet_bytes, 1);
+    reply.head.is_finish = reply.closes;
+    send_(reply);
+}
+
+} // namespace carawayshelf::lab
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -15,10 +15,6 @@
 /** Requests that a backend server serves at the same time, until it says so itself. */
 constexpr std::uint32_t assumed_slots = 2;
 
-/** Requests beyond the slots that the backend server is given: while one is answered, the next
-   one's handshake is under way. More would wait there in the order of arrival. */
-constexpr std::uint32_t requests_ahead = 2;
-
 } // namespace
 
 packet_agent::packet_agent(const options& own, const packet_format& format, packet_port& port,
@@ -254,7 +250,7 @@
         return false;
     }
     const bool is_final = (envelope.flags & opening_flag_final) != 0;
-    return busy_ < server_.slots + (is_final ? requests_ahead : 0);
+    return busy_ < server_.slots + (is_final ? own_.requests_ahead : 0);
 }
 
 void packet_agent::accept(time_point now, const packet_envelope& envelope,
@@ -321,7 +317,7 @@
 void packet_agent::admit_waiting(time_point now)
 {
     refuse_expired(now);
-    while (!waiting_.is_empty() && busy_ < server_.slots + requests_ahead)
+    while (!waiting_.is_empty() && busy_ < server_.slots + own_.requests_ahead)
     {
         waiting_opening next = std::move(*waiting_.take_next(now));
         if (now > next.gone_after)
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -35,6 +35,10 @@
         std::string domain;
         std::string service; ///< What its backend server serves, from the settings.
         duration announce_interval = std::chrono::seconds(1); ///< Of its backend server.
+
+        /** Requests beyond the slots that the backend server is given: while one is answered, the
+            next one's handshake is under way. More would wait there in the order of arrival. */
+        std::uint32_t requests_ahead = 2;
     };
 
     /** How long others may go on without having heard of a change, at most: a follower hears its
--- a/modules/carawayshelf_packets/packet_balancer.cpp
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -8,28 +8,10 @@
 namespace
 {
 
-/** A member of another failure domain is preferred when a request would take this much less there:
-    both ways to it and back take some milliseconds, and bytes between failure domains cost. */
-constexpr duration foreign_domain_cost = std::chrono::milliseconds(10);
-
 /** Added for members that bear little or are likely not to answer; above any load. */
 constexpr duration cold_cost = std::chrono::seconds(10);
 constexpr duration suspect_cost = std::chrono::seconds(100);
 
-/** A new flow goes to one of the members that rank first for it, however many the service has: few
-    enough that a balancer which has not heard of the flow asks only them, and enough that one of
-    them has a free slot. Half of them are of the own failure domain, if it has so many: bytes
-    between failure domains cost, and balancers of a failure domain that is lost are lost with its
-    agents. */
-constexpr std::size_t placed_among = 8;
-
-/** A flow that was not heard of is looked for first among these; more than placed_among, since
-    members may have joined after it was placed. */
-constexpr std::size_t searched_among = 12;
-
-/** Candidates for a new flow: where the first can't take it, the others are asked in turn. */
-constexpr std::size_t most_placements = 4;
-
 load_board::report load_of(const packet_envelope& told)
 {
     load_board::report report;
@@ -172,7 +154,7 @@
             }
         }
     }
-    add_ranked(envelope, most_placements);
+    add_ranked(envelope, own_.placing.most_placements);
     if (envelope.candidate_count != 0)
     {
         ++counters_.placed;
@@ -197,7 +179,7 @@
     {
         rank_members(now, table.members_of(service), flow_hash, rank_purpose::searching);
     }
-    add_ranked(envelope, searched_among);
+    add_ranked(envelope, own_.placing.searched_among);
     probe_candidates(now, table, envelope);
     add_suspects(now, table, route, envelope);
 }
@@ -266,18 +248,25 @@
         ranked.rank = rank_holder(flow_hash, who.data);
         ranked.is_near = who.domain == own_.domain;
         ranked.cost = is_placing ? estimate.expected : duration(0);
-        ranked.cost += ranked.is_near ? duration(0) : foreign_domain_cost;
+        ranked.cost += ranked.is_near ? duration(0) : own_.placing.foreign_domain_cost;
         const bool is_cold = estimate.is_known ? estimate.is_cold : who.is_cold;
         ranked.cost += is_placing && is_cold ? cold_cost : duration(0);
         ranked.cost += is_suspect ? suspect_cost : duration(0);
         ranked_.push_back(ranked);
     }
-    keep_first_ranked(already, is_placing ? placed_among : searched_among);
+    if (is_placing)
+    {
+        keep_first_ranked(already, own_.placing.placed_among, own_.placing.placed_near);
+    }
+    else
+    {
+        keep_first_ranked(already, own_.placing.searched_among, own_.placing.searched_among / 2);
+    }
 }
 
-/** Of those behind the first ones, keeps the half that ranks first in the own failure domain, and
-    those that rank first among the others. */
-void packet_balancer::keep_first_ranked(std::size_t already, std::size_t most)
+/** Of those behind the first ones, keeps some that rank first in the own failure domain, and those
+    that rank first among the others. */
+void packet_balancer::keep_first_ranked(std::size_t already, std::size_t most, std::size_t near)
 {
     const auto first = ranked_.begin() + static_cast<std::ptrdiff_t>(already);
     if (static_cast<std::size_t>(ranked_.end() - first) <= most)
@@ -291,9 +280,9 @@
     const auto near_end =
         std::partition(first, ranked_.end(), [](const ranked_member& who) { return who.is_near; });
     auto kept = near_end;
-    if (static_cast<std::size_t>(near_end - first) > most / 2)
+    if (static_cast<std::size_t>(near_end - first) > near)
     {
-        kept = first + static_cast<std::ptrdiff_t>(most / 2);
+        kept = first + static_cast<std::ptrdiff_t>(near);
         std::nth_element(first, kept, near_end, ranks_before);
     }
     const auto end = first + static_cast<std::ptrdiff_t>(most);
--- a/modules/carawayshelf_packets/packet_balancer.hpp
+++ b/modules/carawayshelf_packets/packet_balancer.hpp
@@ -8,6 +8,7 @@
 #include "carawayshelf_packets/packet_observer.hpp"
 #include "carawayshelf_packets/packet_port.hpp"
 #include "carawayshelf_packets/packet_table.hpp"
+#include "carawayshelf_packets/placement_policy.hpp"
 
 #include <string>
 #include <vector>
@@ -25,6 +26,7 @@
         endpoint data;      ///< Where agents send to.
         std::string domain; ///< Its own failure domain.
         std::size_t flow_cache_entries = 8192;
+        placement_policy placing;
     };
 
     packet_balancer(const options& own, const packet_format& format, packet_port& port,
@@ -83,7 +85,7 @@
         others. */
     void rank_members(time_point now, const std::vector<packet_member>& members,
                       std::uint64_t flow_hash, rank_purpose purpose);
-    void keep_first_ranked(std::size_t already, std::size_t most);
+    void keep_first_ranked(std::size_t already, std::size_t most, std::size_t near);
     void add_ranked(packet_envelope& envelope, std::size_t most);
 
     options own_;
--- /dev/null
+++ b/programs/carawayshelf-lab/main.cpp
@@ -0,0 +1,98 @@
+/** @file
+    carawayshelf-lab: plays policies side by side in a model of the platform.
+*/
+#include "carawayshelf_lab/carawayshelf_lab.hpp"
+
+#include <gflags/gflags.h>
+#include <tbb/parallel_for.h>
+
+#include <fstream>
+#include <iostream>
+
+DEFINE_uint32(seeds, 0, "runs of each policy; 0: as the scenario says");
+DEFINE_uint64(first_seed, 1, "seed of the first run");
+DEFINE_string(svg, "", "file for the plot");
+
+namespace
+{
+
+using namespace carawayshelf::lab;
+
+constexpr int exit_usage = 2;
+
+/** Plays one policy with all seeds. */
+policy_result play(const lab_scenario& scenario, const lab_policy& policy)
+{
+    policy_result result(scenario, policy.name);
+    for (std::uint32_t i = 0; i < scenario.seeds; ++i)
+    {
+        lab_world world(scenario, policy, FLAGS_first_seed + i, result);
+        world.run();
+    }
+    return result;
+}
+
+std::vector<policy_result> play_all(const lab_scenario& scenario)
+{
+    std::vector<policy_result> results;
+    for (const lab_policy& policy : scenario.policies)
+    {
+        results.emplace_back(scenario, policy.name);
+    }
+    tbb::parallel_for(std::size_t{0}, results.size(),
+                      [&scenario, &results](std::size_t index)
+                      { results[index] = play(scenario, scenario.policies[index]); });
+    return results;
+}
+
+int run(const std::string& file)
+{
+    std::ifstream text(file);
+    if (!text)
+    {
+        std::cerr << file << " can't be read; give the path of a scenario\n";
+        return exit_usage;
+    }
+    lab_scenario scenario;
+    const std::vector<std::string> faults = read_scenario(text, scenario);
+    for (const std::string& fault : faults)
+    {
+        std::cerr << file << ": " << fault << '\n';
+    }
+    if (!faults.empty())
+    {
+        return exit_usage;
+    }
+    if (FLAGS_seeds != 0)
+    {
+        scenario.seeds = FLAGS_seeds;
+    }
+    const std::vector<policy_result> results = play_all(scenario);
+    std::cout << scenario.name << ", " << scenario.seeds << " seeds from " << FLAGS_first_seed
+              << "\n" << format_table(scenario, results);
+    if (!FLAGS_svg.empty())
+    {
+        std::ofstream plot(FLAGS_svg);
+        plot << plot_results(scenario, results);
+        if (!plot.flush())
+        {
+            std::cerr << FLAGS_svg << " can't be written; name a file in a folder that exists\n";
+            return EXIT_FAILURE;
+        }
+    }
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("run SCENARIO.ini [--seeds=N] [--first_seed=N] [--svg=FILE]");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (argc != 3 || std::string(argv[1]) != "run")
+    {
+        std::cerr << "usage: carawayshelf-lab " << gflags::ProgramUsage() << '\n';
+        return exit_usage;
+    }
+    return run(argv[2]);
+}
--- /dev/null
+++ b/tests/unit/lab_test.cpp
@@ -0,0 +1,124 @@
+/** @file
+    The model of the platform: scenarios are read strictly, runs repeat, and what balancers and agents
+    tell each other does not grow with their numbers.
+*/
+#include "carawayshelf_lab/carawayshelf_lab.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <sstream>
+
+namespace carawayshelf::lab
+{
+
+namespace
+{
+
+/** As many new flows for each balancer, whatever the size. */
+lab_scenario scenario_of(std::size_t balancers, std::size_t servers)
+{
+    lab_scenario scenario;
+    scenario.length = std::chrono::seconds(3);
+    scenario.balancers = balancers;
+    scenario.link_kbit_per_s = 2000;
+    lab_service service;
+    service.name = "ordering";
+    service.servers = servers;
+    scenario.services = {service};
+    lab_requests requests;
+    requests.name = "reorder";
+    requests.service = "ordering";
+    requests.per_s = 20.0 * static_cast<double>(balancers);
+    requests.work = std::chrono::milliseconds(15);
+    requests.target = std::chrono::milliseconds(100);
+    requests.deadline = std::chrono::milliseconds(500);
+    scenario.requests = {requests};
+    return scenario;
+}
+
+policy_result play(const lab_scenario& scenario, load_source loads, std::uint64_t seed = 1)
+{
+    lab_policy policy;
+    policy.name = std::string(load_source_names.name(loads));
+    policy.loads = loads;
+    policy_result result(scenario, policy.name);
+    lab_world world(scenario, policy, seed, result);
+    world.run();
+    return result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(lab)
+
+BOOST_AUTO_TEST_CASE(what_a_balancer_hears_does_not_grow_with_the_number_of_agents)
+{
+    const lab_scenario small = scenario_of(9, 18);
+    const lab_scenario large = scenario_of(90, 180);
+    const double of_small = play(small, load_source::answers).own_bytes_per_balancer_s();
+    const double of_large = play(large, load_source::answers).own_bytes_per_balancer_s();
+    BOOST_TEST(of_large < of_small * 1.25);
+    // Reports at intervals do grow.
+    const double reported_small = play(small, load_source::reports).own_bytes_per_balancer_s();
+    const double reported_large = play(large, load_source::reports).own_bytes_per_balancer_s();
+    BOOST_TEST(reported_large > reported_small * 5.0);
+}
+
+BOOST_AUTO_TEST_CASE(a_run_repeats_with_its_seed)
+{
+    const lab_scenario scenario = scenario_of(3, 7);
+    const policy_result first = play(scenario, load_source::answers, 7);
+    const policy_result again = play(scenario, load_source::answers, 7);
+    const policy_result other = play(scenario, load_source::answers, 8);
+    BOOST_TEST(first.total().asked == again.total().asked);
+    BOOST_TEST(first.total().in_time == again.total().in_time);
+    BOOST_TEST(first.quantile_ms(0.99) == again.quantile_ms(0.99));
+    BOOST_TEST(first.total().asked != other.total().asked);
+}
+
+BOOST_AUTO_TEST_CASE(a_calm_deployment_serves_all_in_time)
+{
+    const lab_scenario scenario = scenario_of(9, 30);
+    const policy_result result = play(scenario, load_source::answers);
+    BOOST_TEST(result.total().asked > 400U);
+    BOOST_TEST(result.total().failed == 0U);
+    BOOST_TEST(result.total().share_in_time() > 0.97);
+}
+
+BOOST_AUTO_TEST_CASE(faults_of_a_scenario_are_named_with_the_remedy)
+{
+    std::istringstream text("[scenario]\nbalancers = many\ncolour = red\n"
+                            "[requests reorder]\nservice = unknown\n"
+                            "[event one]\nkind = earthquake\n"
+                            "[surprise]\na = b\n");
+    lab_scenario scenario;
+    const std::vector<std::string> faults = read_scenario(text, scenario);
+    const std::vector<std::string> expected = {"[scenario] balancers", "[scenario] colour",
+                                               "[requests reorder] service", "[event one] kind",
+                                               "[surprise]", "add at least one"};
+    for (const std::string& start : expected)
+    {
+        const bool is_named = std::any_of(faults.begin(), faults.end(), [&start](const auto& fault)
+                                          { return fault.rfind(start, 0) == 0; });
+        BOOST_TEST(is_named, start);
+    }
+    BOOST_TEST(faults.size() == expected.size());
+}
+
+BOOST_AUTO_TEST_CASE(results_are_shown_as_a_table_and_a_plot)
+{
+    const lab_scenario scenario = scenario_of(3, 7);
+    const std::vector<policy_result> results = {play(scenario, load_source::answers),
+                                                play(scenario, load_source::none)};
+    const std::string table = format_table(scenario, results);
+    BOOST_TEST(table.find("answers") != std::string::npos);
+    BOOST_TEST(table.find("reorder") != std::string::npos);
+    const std::string plot = plot_results(scenario, results);
+    BOOST_TEST(plot.rfind("<svg", 0) == 0U);
+    BOOST_TEST(plot.find("polyline") != std::string::npos);
+    BOOST_TEST(plot.find("</svg>") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace carawayshelf::lab
