A flow that the likely members don't hold is looked for at all others at once

Ruled out: control (tables at all balancers 0.15 s after the power came back), openings.

Change: when the balancer's 12 candidates have returned a packet, the agent asks all members of the route's services at once (inquiry) and each answers for its server. The reset still needs every answer, a table that control confirmed within 400 ms, and that nobody on the way held a newer one; members that changed meanwhile are asked before it. An inquiry waits for a newer table or a confirmation instead of being dropped. Nobody waits for suspects any more, so envelopes don't name them.

--- a/modules/carawayshelf_io/packet_samples.cpp
+++ b/modules/carawayshelf_io/packet_samples.cpp
@@ -13,6 +13,7 @@
         {role + "_searched_total", "", static_cast<double>(counters.searched)},
     };
     samples.push_back({role + "_probes_total", "", static_cast<double>(counters.probes)});
+    samples.push_back({role + "_inquiries_total", "", static_cast<double>(counters.inquiries)});
     add_reason_samples(samples, role + "_sent_envelopes_total", packet_envelope_kind_names,
                        counters.sent_envelopes);
     add_reason_samples(samples, role + "_sent_envelope_bytes_total", packet_envelope_kind_names,
--- a/modules/carawayshelf_lab/event_queue.hpp
+++ b/modules/carawayshelf_lab/event_queue.hpp
@@ -21,7 +21,8 @@
         return now_;
     }
 
-    /** Runs an action that much later. Those of the same instant run in the order of their calls. */
+    /** Runs an action that much later. Those of the same instant run in the order of their calls.
+     */
     void after(duration later, action what)
     {
         events_.push({now_ + later, ++last_number_, std::move(what)});
--- a/modules/carawayshelf_lab/lab_report.cpp
+++ b/modules/carawayshelf_lab/lab_report.cpp
@@ -30,8 +30,8 @@
 policy_result::policy_result(const lab_scenario& scenario, std::string policy)
     : scenario_(&scenario), policy_(std::move(policy)), kinds_(scenario.requests.size()),
       seconds_(static_cast<std::size_t>(scenario.length / std::chrono::seconds(1)) + 1),
-      latencies_(boost::histogram::make_histogram(
-          latency_axis(latency_bins, shortest_ms, longest_ms)))
+      latencies_(
+          boost::histogram::make_histogram(latency_axis(latency_bins, shortest_ms, longest_ms)))
 {
 }
 
--- a/modules/carawayshelf_lab/lab_scenario.cpp
+++ b/modules/carawayshelf_lab/lab_scenario.cpp
@@ -35,8 +35,9 @@
         const boost::optional<Value> read = found->get_value_optional<Value>();
         if (!read)
         {
-            fault(key, "'" + found->data() + "' is not a value of its kind; give a plain number, "
-                                             "text or 0 and 1");
+            fault(key, "'" + found->data() +
+                           "' is not a value of its kind; give a plain number, "
+                           "text or 0 and 1");
             return;
         }
         value = *read;
@@ -234,7 +235,8 @@
         }
         else
         {
-            faults.push_back("[" + title + "]: not a section of a scenario; use scenario, service "
+            faults.push_back("[" + title +
+                             "]: not a section of a scenario; use scenario, service "
                              "NAME, requests NAME, event NAME or policy NAME");
             continue;
         }
--- a/modules/carawayshelf_lab/lab_scenario.hpp
+++ b/modules/carawayshelf_lab/lab_scenario.hpp
@@ -19,10 +19,10 @@
     slow_servers,    ///< A share of the servers takes factor times as long.
     failing_servers, ///< A share of the servers fails what it gets, at once.
     power_lost,      ///< All processes and servers end, and start again after for_s.
-    release,         ///< A share of a service's servers is drained and replaced, one after the other.
-    domain_lost,     ///< The first failure domain ends, and starts again after for_s.
-    roll_balancers,  ///< A share of the balancers stops and starts again, one after the other.
-    shift            ///< A share of the first failure domain's clients asks in the second one.
+    release,     ///< A share of a service's servers is drained and replaced, one after the other.
+    domain_lost, ///< The first failure domain ends, and starts again after for_s.
+    roll_balancers, ///< A share of the balancers stops and starts again, one after the other.
+    shift           ///< A share of the first failure domain's clients asks in the second one.
 };
 
 inline constexpr name_table<lab_event_kind, 8> lab_event_kind_names{
@@ -104,8 +104,8 @@
     std::vector<lab_policy> policies;
 };
 
-/** Reads a scenario in INI form. Returns every fault as one line with the remedy; nothing when it is
-    good. */
+/** Reads a scenario in INI form. Returns every fault as one line with the remedy; nothing when it
+   is good. */
 std::vector<std::string> read_scenario(std::istream& text, lab_scenario& scenario);
 
 } // namespace carawayshelf::lab
--- a/modules/carawayshelf_lab/lab_world_events.cpp
+++ b/modules/carawayshelf_lab/lab_world_events.cpp
@@ -64,8 +64,8 @@
     std::vector<agent_node*> picked;
     for (const lab_service& service : scenario_.services)
     {
-        std::size_t left = static_cast<std::size_t>(
-            std::ceil(share * static_cast<double>(service.servers)));
+        std::size_t left =
+            static_cast<std::size_t>(std::ceil(share * static_cast<double>(service.servers)));
         for (const std::unique_ptr<agent_node>& agent : agents_)
         {
             if (agent->service == &service && left != 0)
@@ -176,8 +176,8 @@
 
 void lab_world::roll_balancers(const lab_event& event)
 {
-    const std::size_t count = static_cast<std::size_t>(
-        std::ceil(event.share * static_cast<double>(balancers_.size())));
+    const std::size_t count =
+        static_cast<std::size_t>(std::ceil(event.share * static_cast<double>(balancers_.size())));
     for (std::size_t i = 0; i < count; ++i)
     {
         events_.after(roll_gap * static_cast<std::int64_t>(i),
--- a/modules/carawayshelf_lab/model_clients.cpp
+++ b/modules/carawayshelf_lab/model_clients.cpp
@@ -30,9 +30,9 @@
 model_clients::model_clients(event_queue& events, const lab_scenario& scenario,
                              std::mt19937_64& random, policy_result& result, sender send)
     : events_(events), scenario_(scenario), random_(random), result_(result),
-      send_(std::move(send)), idle_(scenario.requests.size(),
-                                    std::vector<std::vector<flow_pointer>>(
-                                        scenario.failure_domains))
+      send_(std::move(send)),
+      idle_(scenario.requests.size(),
+            std::vector<std::vector<flow_pointer>>(scenario.failure_domains))
 {
 }
 
@@ -50,8 +50,8 @@
 
 void model_clients::ask_next(std::size_t kind, std::size_t domain)
 {
-    const double per_s = scenario_.requests[kind].per_s * rate_ /
-                         static_cast<double>(scenario_.failure_domains);
+    const double per_s =
+        scenario_.requests[kind].per_s * rate_ / static_cast<double>(scenario_.failure_domains);
     if (per_s <= 0.0)
     {
         return;
@@ -114,9 +114,9 @@
     flow->kind = asked->kind;
     flow->domain = asked->domain;
     flow->current = asked;
-    flow->ends = {{client_network + number / ports,
-                   static_cast<std::uint16_t>(first_port + number % ports)},
-                  address_of(asked->kind)};
+    flow->ends = {
+        {client_network + number / ports, static_cast<std::uint16_t>(first_port + number % ports)},
+        address_of(asked->kind)};
     flows_[flow->ends] = flow;
     send_opening(flow, 0);
 }
--- a/modules/carawayshelf_lab/model_link.hpp
+++ b/modules/carawayshelf_lab/model_link.hpp
@@ -19,7 +19,8 @@
     {
     }
 
-    /** Sends a datagram. Returns how long it waits and takes, or nothing where the queue is full. */
+    /** Sends a datagram. Returns how long it waits and takes, or nothing where the queue is full.
+     */
     std::optional<duration> send(time_point now, std::size_t bytes)
     {
         sent_bytes_ += bytes;
--- a/modules/carawayshelf_lab/model_server.cpp
+++ b/modules/carawayshelf_lab/model_server.cpp
@@ -144,8 +144,8 @@
     }
 }
 
-void model_server::answer(const model_packets::layout& packet, std::uint32_t bytes,
-                          bool is_failure, bool has_not_run)
+void model_server::answer(const model_packets::layout& packet, std::uint32_t bytes, bool is_failure,
+                          bool has_not_run)
 {
     model_packets::layout reply;
     reply.head.source = packet.head.destination;
--- a/modules/carawayshelf_packets/carawayshelf_packets.hpp
+++ b/modules/carawayshelf_packets/carawayshelf_packets.hpp
@@ -14,7 +14,7 @@
 #include "carawayshelf_packets/cold_allowance.hpp"
 #include "carawayshelf_packets/early_packets.hpp"
 #include "carawayshelf_packets/flow_cache.hpp"
-#include "carawayshelf_packets/flow_search.hpp"
+#include "carawayshelf_packets/flow_inquiries.hpp"
 #include "carawayshelf_packets/load_board.hpp"
 #include "carawayshelf_packets/opening_age.hpp"
 #include "carawayshelf_packets/opening_queue.hpp"
--- /dev/null
+++ b/modules/carawayshelf_packets/flow_inquiries.cpp
@@ -0,0 +1,104 @@
+#include "carawayshelf_packets/flow_inquiries.hpp"
+
+#include <algorithm>
+
+namespace carawayshelf
+{
+
+std::vector<endpoint> flow_inquiries::start(time_point now, const packet_table& table,
+                                            const packet_route& route, const endpoint& own,
+                                            const packet_envelope& envelope,
+                                            std::string_view packet)
+{
+    inquiry& added = inquiries_[envelope.flow];
+    added.envelope = envelope;
+    added.packet = std::string(packet);
+    added.began = now;
+    added.asked_by = table.held();
+    added.needed = envelope.held;
+    for (const std::uint32_t service : route.services)
+    {
+        for (const packet_member& who : table.members_of(service))
+        {
+            if (who.data != own)
+            {
+                added.outstanding.insert(who.data);
+            }
+        }
+    }
+    return {added.outstanding.begin(), added.outstanding.end()};
+}
+
+void flow_inquiries::take_absent(const packet_flow& flow, const endpoint& member, generation held)
+{
+    const auto found = inquiries_.find(flow);
+    if (found == inquiries_.end())
+    {
+        return;
+    }
+    found->second.outstanding.erase(member);
+    found->second.needed = std::max(found->second.needed, held);
+}
+
+std::vector<flow_inquiries::question> flow_inquiries::take_table(const packet_table& table,
+                                                                 const endpoint& own)
+{
+    std::vector<question> questions;
+    for (auto& [flow, item] : inquiries_)
+    {
+        const packet_route* route = table.find_route(flow.service);
+        question asked;
+        if (route == nullptr || item.asked_by >= table.held())
+        {
+            continue; // A route that is gone is refused when the packet comes again.
+        }
+        for (const std::uint32_t service : route->services)
+        {
+            for (const packet_member& who : table.members_of(service))
+            {
+                if (who.data != own && who.changed_at > item.asked_by)
+                {
+                    asked.members.push_back(who.data);
+                    item.outstanding.insert(who.data);
+                }
+            }
+        }
+        item.asked_by = table.held();
+        if (!asked.members.empty())
+        {
+            asked.envelope = item.envelope;
+            asked.packet = item.packet;
+            questions.push_back(std::move(asked));
+        }
+    }
+    return questions;
+}
+
+template <typename Predicate>
+std::vector<flow_inquiries::inquiry> flow_inquiries::take_if(const Predicate& picks)
+{
+    std::vector<inquiry> taken;
+    for (auto item = inquiries_.begin(); item != inquiries_.end();)
+    {
+        if (picks(item->second))
+        {
+            taken.push_back(std::move(item->second));
+            item = inquiries_.erase(item);
+            continue;
+        }
+        ++item;
+    }
+    return taken;
+}
+
+std::vector<flow_inquiries::inquiry> flow_inquiries::take_concluded()
+{
+    return take_if([](const inquiry& item) { return is_concluded(item); });
+}
+
+std::vector<flow_inquiries::inquiry> flow_inquiries::take_expired(time_point now)
+{
+    return take_if([now](const inquiry& item) { return now - item.began >= lasts; });
+}
+
+} // namespace carawayshelf
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -41,6 +41,14 @@
     }
     admit_waiting(now);
     release_early(now);
+    ask_changed_members();
+    conclude_inquiries(now);
+}
+
+void packet_agent::confirm_table(time_point now)
+{
+    confirmed_ = now;
+    conclude_inquiries(now);
 }
 
 /** Draining is acknowledged only once control has recorded it, so a member that the first table
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -2,6 +2,7 @@
 
 #include "carawayshelf_packets/cold_allowance.hpp"
 #include "carawayshelf_packets/early_packets.hpp"
+#include "carawayshelf_packets/flow_inquiries.hpp"
 #include "carawayshelf_packets/load_board.hpp"
 #include "carawayshelf_packets/opening_age.hpp"
 #include "carawayshelf_packets/opening_queue.hpp"
@@ -62,10 +63,7 @@
     void set_table(time_point now, std::shared_ptr<const packet_table> table);
 
     /** Control has confirmed that the table is the newest, as of now. */
-    void confirm_table(time_point now)
-    {
-        confirmed_ = now;
-    }
+    void confirm_table(time_point now);
 
     /** Until its backend server announces itself anew, a restarted agent goes by what control has
         recorded of it, for this long: an interval of announcements, and what may delay one. */
@@ -114,6 +112,7 @@
         bool is_busy = false;         ///< Counted as a request under way.
         bool is_placed = false;       ///< Passed the gate here.
         bool tell_holder = false;     ///< The balancer expects it elsewhere.
+        endpoint asker;               ///< An agent that looks for it, or none.
         bool found_free_slot = false; ///< Its request did, so that its time can be measured.
         bool client_finished = false;
         bool server_finished = false;
@@ -174,10 +173,20 @@
     void pass_on(time_point now, packet_envelope envelope, const packet_route& route,
                  const client_packet& packet, pass_reason why);
     endpoint next_candidate(packet_envelope& envelope) const;
+    void inquire(time_point now, const packet_envelope& envelope, const packet_route& route,
+                 const client_packet& packet);
+    void ask(const packet_envelope& envelope, const std::vector<endpoint>& members,
+             std::string_view packet);
+    void ask_changed_members();
+    void conclude_inquiries(time_point now);
+    void drop_expired_inquiries(time_point now);
+    void take_inquiry_answer(time_point now, const packet_envelope& answer);
+    void answer_inquiry(time_point now, packet_envelope_kind kind, const packet_flow& key,
+                        const endpoint& asker);
+    void tell_where_it_is(time_point now, const packet_flow& key, flow& item);
     void pass_opening_on(time_point now, packet_envelope envelope, const packet_route& route,
                          const client_packet& packet);
     bool add_unvisited(packet_envelope& envelope, const packet_route& route) const;
-    void give_up(time_point now, const packet_envelope& envelope, const packet_head& head);
     bool is_table_fresh(time_point now) const;
     void note_dropped(packet_drop reason, const packet_envelope& envelope, const packet_head& head);
     void note_reset(packet_reset reason, const packet_envelope& envelope, const packet_head& head);
@@ -209,6 +218,7 @@
     early_packets early_;
     flow_map flows_;
     visit_ring visits_;
+    flow_inquiries inquiries_;
     cold_allowance cold_;
     opening_queue waiting_;
     std::uint32_t busy_ = 0;
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -1,4 +1,3 @@
-#include "carawayshelf_packets/flow_search.hpp"
 #include "carawayshelf_packets/packet_agent.hpp"
 
 #include <algorithm>
@@ -37,9 +36,16 @@
         tell_load(now, envelope.balancer);
         return;
     }
+    if (envelope.kind == packet_envelope_kind::absent ||
+        envelope.kind == packet_envelope_kind::holder)
+    {
+        take_inquiry_answer(now, envelope);
+        return;
+    }
     client_packet packet{{}, data, size};
-    if (envelope.kind != packet_envelope_kind::packet ||
-        !format_.decode(packet.bytes(), packet.head))
+    const bool carries_packet = envelope.kind == packet_envelope_kind::packet ||
+                                envelope.kind == packet_envelope_kind::inquiry;
+    if (!carries_packet || !format_.decode(packet.bytes(), packet.head))
     {
         counters_.drops.add(packet_drop::malformed);
         return;
@@ -87,7 +93,9 @@
     }
     flow& item = found->second;
     item.used = now;
-    item.tell_holder = item.tell_holder || envelope.position > 0;
+    const bool is_inquiry = envelope.kind == packet_envelope_kind::inquiry;
+    item.tell_holder = item.tell_holder || is_inquiry || envelope.position > 0;
+    item.asker = is_inquiry ? envelope.candidates[0] : item.asker;
     item.balancer = envelope.balancer;
     item.client_finished = item.client_finished || packet.head.is_finish || packet.head.is_reset;
     if (packet.head.data_bytes != 0 && item.state != flow_state::searching)
@@ -95,10 +103,9 @@
         item.state = flow_state::open;
         start_request(now, item);
     }
-    if (item.state == flow_state::open && item.tell_holder)
+    if (item.state == flow_state::open)
     {
-        tell_holder(now, packet.flow(), item.balancer);
-        item.tell_holder = false;
+        tell_where_it_is(now, packet.flow(), item);
     }
     deliver(envelope, packet);
 }
@@ -137,11 +144,7 @@
     {
         end_request(now, item, ends_answer);
     }
-    if (item.tell_holder && !item.balancer.is_none())
-    {
-        tell_holder(now, key, item.balancer);
-        item.tell_holder = false;
-    }
+    tell_where_it_is(now, key, item);
     if (item.state == flow_state::opening && item.is_busy)
     {
         answered_openings_.emplace_back(now, key);
@@ -173,6 +176,11 @@
 void packet_agent::pass_on(time_point now, packet_envelope envelope, const packet_route& route,
                            const client_packet& packet, pass_reason why)
 {
+    if (envelope.kind == packet_envelope_kind::inquiry)
+    {
+        answer_inquiry(now, packet_envelope_kind::absent, packet.flow(), envelope.candidates[0]);
+        return;
+    }
     counters_.passes.add(why);
     note("passed", pass_reason_names.name(why), envelope, packet.head);
     envelope.held = std::max(envelope.held, table_->held());
@@ -185,14 +193,10 @@
     {
         tell_absent(now, packet.flow(), envelope.balancer); // It remembers the flow here.
     }
-    endpoint next = next_candidate(envelope);
-    if (next.is_none())
-    {
-        next = next_holder(*table_, route, own_.data, hash_flow(packet.flow()), envelope);
-    }
+    const endpoint next = next_candidate(envelope);
     if (next.is_none())
     {
-        give_up(now, envelope, packet.head);
+        inquire(now, envelope, route, packet);
         return;
     }
     port_.send_envelope(next, envelope, packet.bytes());
@@ -201,7 +205,7 @@
 /** Moves on to the envelope's next candidate; none when there is no other. */
 endpoint packet_agent::next_candidate(packet_envelope& envelope) const
 {
-    const int end = envelope.candidate_count - envelope.suspect_count;
+    const int end = envelope.candidate_count;
     do
     {
         envelope.position = static_cast<std::uint8_t>(std::min(envelope.position + 1, UINT8_MAX));
@@ -253,18 +257,6 @@
     return envelope.candidate_count > before;
 }
 
-/** Every member that the own table names has returned a packet. */
-void packet_agent::give_up(time_point now, const packet_envelope& envelope, const packet_head& head)
-{
-    const bool knows_all = is_table_fresh(now) && envelope.held <= table_->held();
-    if (!knows_all || head.is_reset)
-    {
-        note_dropped(packet_drop::lost_flow, envelope, head);
-        return;
-    }
-    note_reset(packet_reset::nowhere, envelope, head);
-}
-
 bool packet_agent::is_table_fresh(time_point now) const
 {
     return table_->held() != 0 && now - confirmed_ < table_fresh_for;
@@ -392,6 +384,7 @@
     forget_old_flows(now);
     release_unanswered(now);
     admit_waiting(now);
+    drop_expired_inquiries(now);
 }
 
 void packet_agent::forget_old_flows(time_point now)
--- a/modules/carawayshelf_packets/packet_balancer.cpp
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -181,11 +181,10 @@
     }
     add_ranked(envelope, own_.placing.searched_among);
     probe_candidates(now, table, envelope);
-    add_suspects(now, table, route, envelope);
 }
 
 /** The search ends at an agent that doesn't answer. The client sends again after 200 ms; by then
-    the probes have shown which agents are to be asked last. */
+    the probes have shown which agents not to wait for. */
 void packet_balancer::probe_candidates(time_point now, const packet_table& table,
                                        const packet_envelope& envelope)
 {
@@ -209,27 +208,6 @@
     port_.send_envelope(agent, asked, {});
 }
 
-/** Names those that don't answer, so that nobody waits for them before the others are asked. */
-void packet_balancer::add_suspects(time_point now, const packet_table& table,
-                                   const packet_route& route, packet_envelope& envelope) const
-{
-    for (const std::uint32_t service : route.services)
-    {
-        for (const packet_member& who : table.members_of(service))
-        {
-            const bool is_suspect = who.is_silent || loads_.estimate(now, who.data).is_suspect;
-            if (is_suspect && envelope.add_candidate(who.data))
-            {
-                ++envelope.suspect_count;
-            }
-        }
-    }
-    if (envelope.suspect_count == envelope.candidate_count)
-    {
-        envelope.suspect_count = 0; // There is nobody else to ask first.
-    }
-}
-
 void packet_balancer::rank_members(time_point now, const std::vector<packet_member>& members,
                                    std::uint64_t flow_hash, rank_purpose purpose)
 {
@@ -326,6 +304,7 @@
         return;
     case packet_envelope_kind::packet:
     case packet_envelope_kind::probe:
+    case packet_envelope_kind::inquiry:
         counters_.drops.add(packet_drop::malformed);
         return;
     }
--- a/modules/carawayshelf_packets/packet_balancer.hpp
+++ b/modules/carawayshelf_packets/packet_balancer.hpp
@@ -76,8 +76,6 @@
                const packet_head& head, packet_envelope& envelope);
     void search(time_point now, const packet_table& table, const packet_route& route,
                 packet_envelope& envelope);
-    void add_suspects(time_point now, const packet_table& table, const packet_route& route,
-                      packet_envelope& envelope) const;
     void probe_candidates(time_point now, const packet_table& table,
                           const packet_envelope& envelope);
     void probe(const packet_table& table, const endpoint& agent);
--- a/modules/carawayshelf_packets/packet_counters.hpp
+++ b/modules/carawayshelf_packets/packet_counters.hpp
@@ -16,16 +16,17 @@
     malformed,
     no_route,    ///< No route, and the own table may be too old to say so.
     no_member,   ///< The route has no member to send it to.
-    lost_flow,   ///< Every known member has returned it, but the own table may be too old.
+    lost_flow,   ///< A member didn't answer for it, or the own table may be too old.
     client_gone, ///< It had left before there was room.
     send_failed,
     no_table, ///< It came before the first table, and that took too long.
-    too_late  ///< An opening that waited for the first table found no room.
+    too_late, ///< An opening that waited for the first table found no room.
+    too_many_inquiries
 };
 
-inline constexpr name_table<packet_drop, 8> packet_drop_names{
+inline constexpr name_table<packet_drop, 9> packet_drop_names{
     {"malformed", "no_route", "no_member", "lost_flow", "client_gone", "send_failed", "no_table",
-     "too_late"}};
+     "too_late", "too_many_inquiries"}};
 
 /** Why a flow was reset. */
 enum class packet_reset
@@ -61,9 +62,10 @@
     std::atomic<std::uint64_t> received{0};
     std::atomic<std::uint64_t> relayed{0};
     std::atomic<std::uint64_t> replies{0};
-    std::atomic<std::uint64_t> placed{0};   ///< New flows.
-    std::atomic<std::uint64_t> searched{0}; ///< Packets of flows that were not in the cache.
-    std::atomic<std::uint64_t> probes{0};   ///< Of agents, by a balancer.
+    std::atomic<std::uint64_t> placed{0};    ///< New flows.
+    std::atomic<std::uint64_t> searched{0};  ///< Packets of flows that were not in the cache.
+    std::atomic<std::uint64_t> probes{0};    ///< Of agents, by a balancer.
+    std::atomic<std::uint64_t> inquiries{0}; ///< Flows that an agent looked for at all members.
     counter_set<packet_envelope_kind, packet_envelope_kind_names.size()> sent_envelopes;
     counter_set<packet_envelope_kind, packet_envelope_kind_names.size()> sent_envelope_bytes;
     counter_set<packet_drop, packet_drop_names.size()> drops;
--- a/modules/carawayshelf_packets/placement_policy.hpp
+++ b/modules/carawayshelf_packets/placement_policy.hpp
@@ -20,8 +20,8 @@
         cost, and balancers of a failure domain that is lost are lost with its agents. */
     std::size_t placed_near = 4;
 
-    /** A flow that was not heard of is looked for first among these, half of the own failure domain;
-        more than placed_among, since members may have joined after it was placed. */
+    /** A flow that was not heard of is looked for first among these, half of the own failure
+       domain; more than placed_among, since members may have joined after it was placed. */
     std::size_t searched_among = 12;
 
     /** Candidates for a new flow: where the first can't take it, the others are asked in turn. */
--- a/modules/carawayshelf_wire/packet_envelope.cpp
+++ b/modules/carawayshelf_wire/packet_envelope.cpp
@@ -15,8 +15,7 @@
 constexpr duration service_time_unit = std::chrono::microseconds(100);
 
 static_assert(sizeof(buffers::packet_envelope_header) +
-                      max_candidates * sizeof(buffers::packet_candidate) +
-                      sizeof(buffers::packet_walk) <=
+                      max_candidates * sizeof(buffers::packet_candidate) <=
                   max_packet_envelope_bytes,
               "the buffer size must follow the schema");
 
@@ -38,12 +37,6 @@
     return std::find(candidates.begin(), end, agent) != end;
 }
 
-bool packet_envelope::has_suspect(const endpoint& agent) const
-{
-    const auto end = candidates.begin() + candidate_count;
-    return std::find(end - suspect_count, end, agent) != end;
-}
-
 std::size_t encode_packet_envelope(const packet_envelope& value, std::uint8_t* buffer)
 {
     const buffers::packet_envelope_header header(
@@ -53,7 +46,7 @@
         static_cast<std::uint16_t>(
             std::min<std::int64_t>(value.service_time / service_time_unit, UINT16_MAX)),
         static_cast<std::uint8_t>(value.kind), value.position, value.candidate_count, value.flags,
-        value.slots, static_cast<std::uint8_t>(value.phase), value.suspect_count);
+        value.slots);
     std::memcpy(buffer, &header, sizeof(header));
     std::uint8_t* end = buffer + sizeof(header);
     for (std::size_t i = 0; i < value.candidate_count; ++i)
@@ -63,12 +56,6 @@
         std::memcpy(end, &packed, sizeof(packed));
         end += sizeof(packed);
     }
-    if (value.phase != walk_phase::none)
-    {
-        const buffers::packet_walk walk(value.cursor, value.since, value.oldest);
-        std::memcpy(end, &walk, sizeof(walk));
-        end += sizeof(walk);
-    }
     return static_cast<std::size_t>(end - buffer);
 }
 
@@ -81,13 +68,10 @@
         return false;
     }
     std::memcpy(&header, data, sizeof(header));
-    const bool has_walk = header.phase() != 0;
-    header_size = sizeof(header) + header.candidate_count() * sizeof(buffers::packet_candidate) +
-                  (has_walk ? sizeof(buffers::packet_walk) : 0);
+    header_size = sizeof(header) + header.candidate_count() * sizeof(buffers::packet_candidate);
     if (header.magic() != packet_envelope_magic ||
         header.kind() >= packet_envelope_kind_names.size() ||
-        header.phase() >= walk_phase_names.size() || header.candidate_count() > max_candidates ||
-        header.suspect_count() > header.candidate_count() || size < header_size)
+        header.candidate_count() > max_candidates || size < header_size)
     {
         return false;
     }
@@ -102,7 +86,6 @@
     value.flags = header.flags();
     value.position = header.position();
     value.candidate_count = header.candidate_count();
-    value.suspect_count = header.suspect_count();
     const std::uint8_t* next = data + sizeof(header);
     for (std::size_t i = 0; i < value.candidate_count; ++i)
     {
@@ -111,15 +94,6 @@
         next += sizeof(packed);
         value.candidates[i] = {packed.address(), packed.port()};
     }
-    value.phase = static_cast<walk_phase>(header.phase());
-    if (has_walk)
-    {
-        buffers::packet_walk walk;
-        std::memcpy(&walk, next, sizeof(walk));
-        value.cursor = walk.cursor();
-        value.since = walk.since();
-        value.oldest = walk.oldest();
-    }
     return true;
 }
 
--- a/modules/carawayshelf_wire/packet_envelope.hpp
+++ b/modules/carawayshelf_wire/packet_envelope.hpp
@@ -19,27 +19,17 @@
     holder, ///< Tells a balancer which agent holds a flow, and that agent's load.
     load,   ///< Tells a balancer how loaded an agent's backend server is.
     probe,  ///< A balancer asks an agent for its load.
-    absent  ///< Tells a balancer that an agent doesn't hold a flow, and that agent's load.
+    absent, ///< Tells a balancer or an agent that an agent doesn't hold a flow, and that one's
+            ///< load.
+    inquiry ///< Carries a client's packet to an agent that may hold its flow, and names who asks.
 };
 
-inline constexpr name_table<packet_envelope_kind, 5> packet_envelope_kind_names{
-    {"packet", "holder", "load", "probe", "absent"}};
+inline constexpr name_table<packet_envelope_kind, 6> packet_envelope_kind_names{
+    {"packet", "holder", "load", "probe", "absent", "inquiry"}};
 
 /** Agents that an envelope names: those where a flow is looked for first, or may be placed. */
 constexpr std::size_t max_candidates = 16;
 
-/** How far the search for a flow has got beyond the candidates. */
-enum class walk_phase : std::uint8_t
-{
-    none,    ///< Only the candidates have been asked.
-    members, ///< The route's members, in the order of their ranks.
-    changed, ///< Those that changed since a table that an earlier step went by.
-    silent   ///< Those that control doesn't hear.
-};
-
-inline constexpr name_table<walk_phase, 4> walk_phase_names{
-    {"none", "members", "changed", "silent"}};
-
 /** Bits of packet_envelope::flags where an agent tells its load. */
 constexpr std::uint8_t load_flag_closed = 1; ///< Takes no new flow.
 constexpr std::uint8_t load_flag_cold = 2;   ///< Takes few new flows.
@@ -68,24 +58,18 @@
     std::uint8_t flags = 0;
     std::uint8_t position = 0; ///< Candidates before this one have returned the packet.
     std::uint8_t candidate_count = 0;
-    std::uint8_t suspect_count = 0; ///< The last candidates; a search asks them at last.
-    std::array<endpoint, max_candidates> candidates{}; ///< Agents to visit, in this order.
-    walk_phase phase = walk_phase::none;
-    std::uint64_t cursor = 0; ///< Rank of the member asked last; those above it have been asked.
-    generation since = 0;     ///< In the phase changed: members that changed after it are asked.
-    generation oldest = 0;    ///< Oldest table that a step of this phase went by.
+    /** Agents to visit, in this order. In an inquiry the agent that asks; in the answer to one the
+        agent that answers. */
+    std::array<endpoint, max_candidates> candidates{};
 
     /** Adds a candidate. Returns false when there is no room. */
     bool add_candidate(const endpoint& agent);
 
     bool has_candidate(const endpoint& agent) const;
-
-    /** Whether an agent is among the candidates that are likely not to answer. */
-    bool has_suspect(const endpoint& agent) const;
 };
 
 /** Longest header. */
-constexpr std::size_t max_packet_envelope_bytes = 256;
+constexpr std::size_t max_packet_envelope_bytes = 192;
 
 /** Writes the header. Returns its length. Precondition: max_packet_envelope_bytes of room. */
 std::size_t encode_packet_envelope(const packet_envelope& value, std::uint8_t* buffer);
