--- a/modules/carawayshelf_packets/load_board.cpp
+++ b/modules/carawayshelf_packets/load_board.cpp
@@ -71,8 +71,10 @@
                                          std::chrono::duration<double>(load_ages_for));
     const double slots = std::max<std::uint32_t>(known.told.slots, 1);
     const double rounds = 1.0 + (known.told.load * (1.0 - age) + known.placed) / slots;
-    estimate.expected = duration(
-        static_cast<std::int64_t>(rounds * static_cast<double>(known.told.service_time.count())));
+    // A server that answers faster than usual gets no more for it: it may fail what it gets.
+    const duration service_time = std::max(known.told.service_time, first_service_time);
+    estimate.expected =
+        duration(static_cast<std::int64_t>(rounds * static_cast<double>(service_time.count())));
     estimate.is_closed = known.told.is_closed && age < 1.0;
     estimate.is_cold = known.told.is_cold;
     estimate.is_suspect = is_suspect(now, known);
--- a/modules/carawayshelf_packets/packet_agent_inquiries.cpp
+++ b/modules/carawayshelf_packets/packet_agent_inquiries.cpp
@@ -95,8 +95,8 @@
     }
 }
 
-void packet_agent::answer_inquiry(time_point now, packet_envelope_kind kind,
-                                  const packet_flow& key, const endpoint& asker)
+void packet_agent::answer_inquiry(time_point now, packet_envelope_kind kind, const packet_flow& key,
+                                  const endpoint& asker)
 {
     packet_envelope answer = describe_load(now, kind);
     answer.flow = key;
