Handlers of a control instance end with it

Cause: control_front/a_restarted_cluster_holds_what_it_accepted ended with a memory access violation, each time. The instances of that test are destroyed while their io_context goes on; the handlers of their acceptor, timers, connections and attempts to connect still ran, on freed memory. The product ends its io_context with the instance, so it was not concerned. Change: object_life, whose guard() makes such handlers do nothing once their object is gone.

--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -180,7 +180,7 @@
 
 void control_server::accept_next()
 {
-    acceptor_.async_accept(
+    acceptor_.async_accept(life_.guard(
         [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket)
         {
             if (!error)
@@ -191,33 +191,34 @@
             {
                 accept_next();
             }
-        });
+        }));
 }
 
 void control_server::start_connection(const connection_pointer& connection)
 {
     connections_[connection.get()] = {connection, steady_now()};
     const std::weak_ptr<frame_connection> weak = connection;
-    connection->start(
-        [this, weak](frame& received)
-        {
-            if (const connection_pointer held = weak.lock())
-            {
-                handle_frame(held, received);
-            }
-        },
-        [this, weak](const failure& why)
-        {
-            if (why.code == make_error_code(error_kind::malformed_frame))
-            {
-                ++counters_.broken_frames;
-                log_warning(why.message());
-            }
-            if (const connection_pointer held = weak.lock())
-            {
-                drop_connection(held);
-            }
-        });
+    connection->start(life_.guard(
+                          [this, weak](frame& received)
+                          {
+                              if (const connection_pointer held = weak.lock())
+                              {
+                                  handle_frame(held, received);
+                              }
+                          }),
+                      life_.guard(
+                          [this, weak](const failure& why)
+                          {
+                              if (why.code == make_error_code(error_kind::malformed_frame))
+                              {
+                                  ++counters_.broken_frames;
+                                  log_warning(why.message());
+                              }
+                              if (const connection_pointer held = weak.lock())
+                              {
+                                  drop_connection(held);
+                              }
+                          }));
 }
 
 void control_server::drop_connection(const connection_pointer& connection)
@@ -437,12 +438,12 @@
         return;
     }
     is_pump_scheduled_ = true;
-    boost::asio::post(io_,
-                      [this]
-                      {
-                          is_pump_scheduled_ = false;
-                          pump();
-                      });
+    boost::asio::post(io_, life_.guard(
+                               [this]
+                               {
+                                   is_pump_scheduled_ = false;
+                                   pump();
+                               }));
 }
 
 void control_server::pump()
@@ -606,14 +607,14 @@
         send_updates();
     }
     timer_.expires_after(tick_interval);
-    timer_.async_wait(
+    timer_.async_wait(life_.guard(
         [this](const boost::system::error_code& error)
         {
             if (!error)
             {
                 on_timer();
             }
-        });
+        }));
 }
 
 void control_server::on_lease_timer()
@@ -658,14 +659,14 @@
     }
     schedule_pump();
     lease_timer_.expires_after(lease_interval);
-    lease_timer_.async_wait(
+    lease_timer_.async_wait(life_.guard(
         [this](const boost::system::error_code& error)
         {
             if (!error)
             {
                 on_lease_timer();
             }
-        });
+        }));
 }
 
 std::vector<metric_sample> control_server::samples() const
--- a/modules/carawayshelf_io/control_server.hpp
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -8,6 +8,7 @@
 #include "carawayshelf_io/frame_connection.hpp"
 #include "carawayshelf_io/lease_table.hpp"
 #include "carawayshelf_io/metrics_page.hpp"
+#include "carawayshelf_io/object_life.hpp"
 #include "carawayshelf_io/parking_place.hpp"
 #include "carawayshelf_io/peer_links.hpp"
 #include "carawayshelf_io/platform_binding.hpp"
@@ -195,6 +196,7 @@
     std::map<std::pair<generation, std::string>, std::shared_ptr<const std::string>> encoded_;
     failure stop_reason_;
     control_counters counters_;
+    object_life life_;
 };
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_io/peer_links.cpp
+++ b/modules/carawayshelf_io/peer_links.cpp
@@ -86,24 +86,25 @@
         std::make_shared<boost::asio::ip::tcp::socket>(io_);
     peer.connecting = socket;
     socket->async_connect(to_asio(peer.address),
-                          [this, slot, socket](const boost::system::error_code& error)
-                          {
-                              const auto found = links_.find(slot);
-                              if (found == links_.end() || found->second.connecting != socket)
+                          life_.guard(
+                              [this, slot, socket](const boost::system::error_code& error)
                               {
-                                  return; // A later attempt took its place.
-                              }
-                              link& connected = found->second;
-                              connected.connecting = nullptr;
-                              if (error)
-                              {
-                                  return;
-                              }
-                              connected.heard = steady_now();
-                              connected.connection =
-                                  std::make_shared<frame_connection>(std::move(*socket));
-                              on_connected_(connected.connection);
-                          });
+                                  const auto found = links_.find(slot);
+                                  if (found == links_.end() || found->second.connecting != socket)
+                                  {
+                                      return; // A later attempt took its place.
+                                  }
+                                  link& connected = found->second;
+                                  connected.connecting = nullptr;
+                                  if (error)
+                                  {
+                                      return;
+                                  }
+                                  connected.heard = steady_now();
+                                  connected.connection =
+                                      std::make_shared<frame_connection>(std::move(*socket));
+                                  on_connected_(connected.connection);
+                              }));
 }
 
 void peer_links::hear(time_point now, const frame_connection* connection)
--- a/modules/carawayshelf_lab/model_clients.cpp
+++ b/modules/carawayshelf_lab/model_clients.cpp
@@ -90,7 +90,7 @@
     // Any of them, so that all are used.
     std::uniform_int_distribution<std::size_t> pick(0, idle.size() - 1);
     std::swap(idle[pick(random_)], idle.back());
-    const flow_pointer taken = idle.back();
+    flow_pointer taken = idle.back();
     idle.pop_back();
     return taken;
 }
