--- a/tests/unit/packet_balancer_test.cpp
+++ b/tests/unit/packet_balancer_test.cpp
@@ -252,17 +252,33 @@
     load_board::report told;
     told.load = 20;
     told.slots = 2;
-    told.service_time = std::chrono::milliseconds(10);
+    told.service_time = std::chrono::milliseconds(30);
     board.take_report(start, agent, told);
-    BOOST_TEST((board.estimate(start, agent).expected == std::chrono::milliseconds(110)));
+    BOOST_TEST((board.estimate(start, agent).expected == std::chrono::milliseconds(330)));
     const time_point half = start + load_board::load_ages_for / 2;
-    BOOST_TEST((board.estimate(half, agent).expected == std::chrono::milliseconds(60)));
+    BOOST_TEST((board.estimate(half, agent).expected == std::chrono::milliseconds(180)));
     const time_point old = start + load_board::load_ages_for;
-    BOOST_TEST((board.estimate(old, agent).expected == std::chrono::milliseconds(10)));
+    BOOST_TEST((board.estimate(old, agent).expected == std::chrono::milliseconds(30)));
     board.expire(old + std::chrono::seconds(60));
     BOOST_TEST(board.size() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_server_that_answers_faster_than_usual_is_not_preferred)
+{
+    load_board board;
+    const time_point now{std::chrono::seconds(1000)};
+    load_board::report told;
+    told.slots = 2;
+    told.service_time = std::chrono::milliseconds(1);
+    board.take_report(now, agent_at(1), told);
+    BOOST_TEST(
+        (board.estimate(now, agent_at(1)).expected == board.estimate(now, agent_at(2)).expected));
+    told.service_time = first_service_time * 3;
+    board.take_report(now, agent_at(1), told);
+    BOOST_TEST(
+        (board.estimate(now, agent_at(1)).expected > board.estimate(now, agent_at(2)).expected));
+}
+
 /** What a balancer sends and what its agents send it must not grow with the number of agents, nor
     with its table's generations. */
 BOOST_AUTO_TEST_CASE(an_idle_balancer_sends_nothing_however_many_agents_and_tables_there_are)
