HTTP: one answer a request; a planned stop of control answers what is under way

What operators of similar systems saw, looked for here: - A second answer to an earlier request of a persistent connection was written as the answer to the next one (seen: with the guard taken out the test receives the late copy). Now an answer carries the number of its request, and any but the first is dropped and logged. - SIGTERM ended a control instance at once, so orders that it had just taken got no answer.

--- a/modules/carawayshelf_io/control_server.hpp
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -64,6 +64,12 @@
     void read(order_handler done) override;
     void mark(const std::string& domain, bool out, order_handler done) override;
 
+    /** Whether requests of operators or daemons wait for their outcome here. */
+    bool has_requests_under_way() const
+    {
+        return !proposals_.empty() || !reads_.empty() || !forwarded_.empty();
+    }
+
     /** Why it stopped by itself, if it did. */
     const failure& stop_reason() const
     {
--- a/modules/carawayshelf_io/http_server.cpp
+++ b/modules/carawayshelf_io/http_server.cpp
@@ -26,10 +26,10 @@
 class http_session : public std::enable_shared_from_this<http_session>
 {
 public:
-    using answer_counts = std::shared_ptr<std::map<unsigned, std::uint64_t>>;
+    using shared_pointer = std::shared_ptr<http_server::shared_state>;
 
-    http_session(boost::asio::ip::tcp::socket socket, http_handler handler, answer_counts answers)
-        : stream_(std::move(socket)), handler_(std::move(handler)), answers_(std::move(answers))
+    http_session(boost::asio::ip::tcp::socket socket, http_handler handler, shared_pointer shared)
+        : stream_(std::move(socket)), handler_(std::move(handler)), shared_(std::move(shared))
     {
     }
 
@@ -50,7 +50,8 @@
         if (error == http::error::body_limit)
         {
             is_last_ = true;
-            answer({413, "text/plain", "the body is too long: send a smaller one\n"});
+            begin_request();
+            answer(request_, {413, "text/plain", "the body is too long: send a smaller one\n"});
             return;
         }
         if (error &&
@@ -58,7 +59,8 @@
             error != http::error::end_of_stream && error != http::error::partial_message)
         {
             is_last_ = true;
-            answer({400, "text/plain", error.message() + ": send HTTP/1.1\n"});
+            begin_request();
+            answer(request_, {400, "text/plain", error.message() + ": send HTTP/1.1\n"});
             return;
         }
         if (error)
@@ -70,13 +72,36 @@
         http_request request{received.method_string().to_string(), received.target().to_string(),
                              received.body()};
         stream_.expires_never();
-        handler_(request,
-                 [self = shared_from_this()](const http_reply& reply) { self->answer(reply); });
+        begin_request();
+        if (shared_->is_stopping)
+        {
+            is_last_ = true;
+            answer(request_, {503, "text/plain", "this instance stops: call another one\n"});
+            return;
+        }
+        handler_(request, [self = shared_from_this(), number = request_](const http_reply& reply)
+                 { self->answer(number, reply); });
     }
 
-    void answer(const http_reply& reply)
+    void begin_request()
     {
-        ++(*answers_)[reply.status];
+        ++request_;
+        is_answered_ = false;
+        ++shared_->under_way;
+    }
+
+    /** @param number  of the request that is answered */
+    void answer(std::uint64_t number, const http_reply& reply)
+    {
+        if (number != request_ || is_answered_)
+        {
+            log_warning("dropped a second answer to an HTTP request, status " +
+                        std::to_string(reply.status));
+            return;
+        }
+        is_answered_ = true;
+        is_last_ = is_last_ || shared_->is_stopping;
+        ++shared_->answers[reply.status];
         response_ = {};
         response_.version(11);
         response_.result(reply.status);
@@ -89,6 +114,7 @@
                           [self = shared_from_this()](const boost::system::error_code& error,
                                                       std::size_t /*size*/)
                           {
+                              --self->shared_->under_way;
                               if (error || self->is_last_)
                               {
                                   boost::system::error_code ignored;
@@ -105,18 +131,26 @@
     std::optional<http::request_parser<http::string_body>> parser_;
     http::response<http::string_body> response_;
     http_handler handler_;
-    answer_counts answers_;
+    shared_pointer shared_;
+    std::uint64_t request_ = 0; ///< Number of the present request.
+    bool is_answered_ = false;
     bool is_last_ = false;
 };
 
 } // namespace
 
 http_server::http_server(boost::asio::io_context& io, http_handler handler)
-    : acceptor_(io), handler_(std::move(handler)),
-      answers_(std::make_shared<std::map<unsigned, std::uint64_t>>())
+    : acceptor_(io), handler_(std::move(handler))
 {
 }
 
+void http_server::begin_stop()
+{
+    shared_->is_stopping = true;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+}
+
 failure http_server::start(const endpoint& address)
 {
     boost::system::error_code error;
@@ -140,13 +174,18 @@
 void http_server::accept_next()
 {
     acceptor_.async_accept(
-        [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket)
+        [this, shared = shared_](const boost::system::error_code& error,
+                                 boost::asio::ip::tcp::socket socket)
         {
+            if (error == boost::asio::error::operation_aborted)
+            {
+                return; // It stops, or is gone.
+            }
             if (!error)
             {
-                std::make_shared<http_session>(std::move(socket), handler_, answers_)->read_next();
+                std::make_shared<http_session>(std::move(socket), handler_, shared_)->read_next();
             }
-            else
+            else if (!shared->is_stopping)
             {
                 log_warning("an HTTP connection was not accepted: " + error.message());
             }
--- a/modules/carawayshelf_io/http_server.hpp
+++ b/modules/carawayshelf_io/http_server.hpp
@@ -31,7 +31,8 @@
     std::string body;
 };
 
-/** Answers a request, once, now or later, on the io_context's thread. */
+/** Answers a request, now or later, on the io_context's thread. Only the first answer is sent: a
+   later one would reach the next request of the connection. */
 using http_responder = std::function<void(const http_reply&)>;
 
 /** Handles a request; must see to it that the responder is called. */
@@ -50,18 +51,36 @@
     /** Listens at an address. Errors: invalid_settings when it can't be bound. */
     failure start(const endpoint& address);
 
+    /** Accepts no connection any more, and answers requests that come on open ones with 503. Those
+        that are under way are answered. */
+    void begin_stop();
+
+    /** Requests that were taken and whose answers have not been written yet. */
+    std::size_t under_way() const
+    {
+        return shared_->under_way;
+    }
+
     /** How many requests were answered with each status. Call on the io_context's thread. */
     const std::map<unsigned, std::uint64_t>& answers() const
     {
-        return *answers_;
+        return shared_->answers;
     }
 
+    /** What the server and its connections share. */
+    struct shared_state
+    {
+        std::map<unsigned, std::uint64_t> answers;
+        std::size_t under_way = 0;
+        bool is_stopping = false;
+    };
+
 private:
     void accept_next();
 
     boost::asio::ip::tcp::acceptor acceptor_;
     http_handler handler_;
-    std::shared_ptr<std::map<unsigned, std::uint64_t>> answers_; ///< Shared with the connections.
+    std::shared_ptr<shared_state> shared_ = std::make_shared<shared_state>();
 };
 
 } // namespace carawayshelf
