--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -82,6 +82,19 @@
     BOOST_TEST(bench.server.answers().at(200) == 2U);
 }
 
+/** So an answer that breaks off halfway doesn't look complete. */
+BOOST_AUTO_TEST_CASE(an_answer_states_its_length)
+{
+    http_bench bench;
+    bench.send(get);
+    const std::string body(5000, 'x');
+    bench.responders[0]({200, "text/plain", body});
+    const std::string answer = bench.receive();
+    BOOST_TEST(answer.find("Content-Length: 5000\r\n") != std::string::npos);
+    BOOST_TEST(answer.size() > body.size());
+    BOOST_TEST(answer.find("chunked") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(a_planned_stop_answers_what_is_under_way_and_refuses_the_rest)
 {
     http_bench bench;
