--- a/modules/carawayshelf_packets/carawayshelf_packets.hpp
+++ b/modules/carawayshelf_packets/carawayshelf_packets.hpp
@@ -4,8 +4,10 @@
 
     Purpose: placing of new flows by load, finding of open flows, the agent's gate before its
     backend server, its membership. The backend server is the truth about its flows: it returns what
-   it doesn't hold, and the packet then visits the other members of the route. A flow is reset only
-   when every one of them has returned it. What balancers and agents remember of flows is a cache.
+    it doesn't hold; then a few likely members get the packet in turn, and after them all members of
+    the route at once. A flow is reset only when every one of them has returned it. What balancers
+    and agents remember of flows is a cache, and what balancers know of loads comes with the answers
+    to what they send. Nothing that is sent grows with the number of balancers times that of agents.
     Dependencies: carawayshelf_core, carawayshelf_catalogue, carawayshelf_wire. Does no input or
     output: packet formats, sockets and clocks are passed in.
 */
