The tests' fakes use the lab's packets, port and link; the lab says things once

The lab had its own copies of test_packets, world_port, quiet_observer, and the packet histories their own copy of model_link; each is one piece now (plain_packets, calling_port, silent_observer, model_link). Within the lab: one loss of nodes for power and for a failure domain, one start of a process, one wiring of a node, virtual functions in place of casts; counters that nothing read are gone. Names are found by name_table::find, numbers by from_chars: the property tree's translator did not compile under the address preset (may be used uninitialized, with warnings as errors).

--- a/modules/carawayshelf_lab/lab_nodes.hpp
+++ b/modules/carawayshelf_lab/lab_nodes.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carawayshelf_catalogue/subscriber_table.hpp"
+#include "carawayshelf_lab/calling_port.hpp"
 #include "carawayshelf_lab/lab_world.hpp"
 #include "carawayshelf_lab/model_link.hpp"
 #include "carawayshelf_lab/model_server.hpp"
@@ -10,52 +11,6 @@
 namespace carawayshelf::lab
 {
 
-/** Hands what a core sends to the world at once. */
-class model_port : public packet_port
-{
-public:
-    std::function<void(const endpoint&, const packet_envelope&, const std::string&)> on_envelope;
-    std::function<void(const std::string&)> on_client_packet;
-    std::function<void(const std::string&)> on_server_packet;
-
-    void send_envelope(const endpoint& to, const packet_envelope& envelope,
-                       std::string_view packet) override
-    {
-        on_envelope(to, envelope, std::string(packet));
-    }
-
-    void send_to_client(std::uint32_t /*client_address*/, std::string_view packet) override
-    {
-        on_client_packet(std::string(packet));
-    }
-
-    void send_reset(const packet_flow& flow, std::uint32_t sequence) override
-    {
-        std::string packet(packet_format::max_reset_bytes, '\0');
-        packet.resize(model_packets().encode_reset(flow, sequence,
-                                                   reinterpret_cast<std::uint8_t*>(packet.data())));
-        on_client_packet(packet);
-    }
-
-    void send_to_server(std::string_view packet) override
-    {
-        on_server_packet(std::string(packet));
-    }
-
-    void flush() override
-    {
-    }
-};
-
-/** Forgets decisions. */
-class silent_observer : public packet_observer
-{
-public:
-    void note(const packet_decision& /*decision*/) override
-    {
-    }
-};
-
 /** What balancers and agents share. */
 struct lab_world::node
 {
@@ -65,12 +20,18 @@
 
     virtual ~node() = default;
 
+    /** A new table is in force. */
+    virtual void take_table(time_point now) = 0;
+
+    /** Control has confirmed the table. */
+    virtual void confirm(time_point now) = 0;
+
     endpoint data;
     std::size_t domain = 0;
     bool is_up = false;
     std::uint64_t life = 0; ///< Grows with each start and stop.
     model_link link;
-    model_port port;
+    calling_port<model_packets> port;
     silent_observer observer;
     packet_counters counters;
     subscriber_table table;
@@ -81,6 +42,16 @@
 {
     using node::node;
 
+    void take_table(time_point now) override
+    {
+        core->release_early(now, *traffic_table, true);
+    }
+
+    void confirm(time_point now) override
+    {
+        confirmed = now;
+    }
+
     std::unique_ptr<packet_balancer> core;
     time_point confirmed;
 };
@@ -89,6 +60,16 @@
 {
     using node::node;
 
+    void take_table(time_point now) override
+    {
+        core->set_table(now, traffic_table);
+    }
+
+    void confirm(time_point now) override
+    {
+        core->confirm_table(now);
+    }
+
     std::string name;
     const lab_service* service = nullptr;
     std::unique_ptr<packet_agent> core;
--- a/modules/carawayshelf_lab/lab_report.cpp
+++ b/modules/carawayshelf_lab/lab_report.cpp
@@ -65,10 +65,9 @@
     seconds_[std::min(second, seconds_.size() - 1)].add(counted);
 }
 
-void policy_result::note_bytes(std::uint64_t own_bytes, std::uint64_t all_bytes)
+void policy_result::note_own_bytes(std::uint64_t bytes)
 {
-    own_bytes_ += own_bytes;
-    all_bytes_ += all_bytes;
+    own_bytes_ += bytes;
     ++runs_;
 }
 
--- a/modules/carawayshelf_lab/lab_report.hpp
+++ b/modules/carawayshelf_lab/lab_report.hpp
@@ -50,9 +50,8 @@
         @param began  since the start of the run */
     void note_request(std::size_t requests, duration began, duration took, bool is_served);
 
-    /** Bytes that balancers and agents sent each other in a run, without clients' packets, and with
-        them. */
-    void note_bytes(std::uint64_t own_bytes, std::uint64_t all_bytes);
+    /** Bytes that balancers and agents sent each other in a run, without clients' packets. */
+    void note_own_bytes(std::uint64_t bytes);
 
     /** The busiest server's requests over the mean of its service, in a run. */
     void note_imbalance(double busiest_over_mean);
@@ -95,7 +94,6 @@
     std::vector<outcome_counts> seconds_;
     latency_histogram latencies_;
     std::uint64_t own_bytes_ = 0;
-    std::uint64_t all_bytes_ = 0;
     double imbalance_ = 0.0;
     std::uint32_t runs_ = 0;
 };
--- a/modules/carawayshelf_lab/lab_scenario.cpp
+++ b/modules/carawayshelf_lab/lab_scenario.cpp
@@ -4,6 +4,8 @@
 #include <boost/property_tree/ptree.hpp>
 
 #include <algorithm>
+#include <charconv>
+#include <optional>
 #include <set>
 
 namespace carawayshelf::lab
@@ -23,24 +25,39 @@
     {
     }
 
-    template <typename Value>
-    void take(const char* key, Value& value)
+    void take(const char* key, std::string& value)
     {
-        known_.insert(key);
-        const boost::optional<const ptree&> found = keys_.get_child_optional(key);
-        if (!found)
+        value = find(key).value_or(value);
+    }
+
+    void take(const char* key, bool& value)
+    {
+        std::uint32_t number = value ? 1 : 0;
+        take(key, number);
+        if (number > 1)
+        {
+            fault(key, "'" + std::to_string(number) + "' is neither; give 0 or 1");
+        }
+        value = number == 1;
+    }
+
+    template <typename Number>
+    void take(const char* key, Number& value)
+    {
+        const std::optional<std::string> text = find(key);
+        if (!text)
         {
             return;
         }
-        const boost::optional<Value> read = found->get_value_optional<Value>();
-        if (!read)
+        const char* const end = text->data() + text->size();
+        Number read{};
+        const std::from_chars_result result = std::from_chars(text->data(), end, read);
+        if (result.ec != std::errc() || result.ptr != end)
         {
-            fault(key, "'" + found->data() +
-                           "' is not a value of its kind; give a plain number, "
-                           "text or 0 and 1");
+            fault(key, "'" + *text + "' is not a number that fits here; give a plain one");
             return;
         }
-        value = *read;
+        value = read;
     }
 
     void take_seconds(const char* key, duration& value)
@@ -58,15 +75,13 @@
     {
         std::string text(names.name(value));
         take(key, text);
-        for (std::size_t i = 0; i < Names::size(); ++i)
+        const std::optional<Enum> found = names.find(text);
+        if (!found)
         {
-            if (names.name(static_cast<Enum>(i)) == text)
-            {
-                value = static_cast<Enum>(i);
-                return;
-            }
+            fault(key, "'" + text + "' is not known; see docs/LAB.md for the names");
+            return;
         }
-        fault(key, "'" + text + "' is not known; see docs/LAB.md for the names");
+        value = *found;
     }
 
     void finish()
@@ -81,6 +96,14 @@
     }
 
 private:
+    std::optional<std::string> find(const char* key)
+    {
+        known_.insert(key);
+        const ptree::const_assoc_iterator found = keys_.find(key);
+        return found == keys_.not_found() ? std::nullopt
+                                          : std::optional<std::string>(found->second.data());
+    }
+
     void take_time(const char* key, duration& value, double unit)
     {
         double number = static_cast<double>(value.count()) / unit;
--- a/modules/carawayshelf_lab/lab_world.cpp
+++ b/modules/carawayshelf_lab/lab_world.cpp
@@ -52,7 +52,6 @@
         balancer->link = model_link(scenario_.link_kbit_per_s);
     }
     own_bytes_ = 0;
-    all_bytes_ = 0;
     clients_.start();
     schedule_events();
     send_reports();
@@ -62,7 +61,7 @@
         longest_deadline = std::max(longest_deadline, requests.deadline);
     }
     events_.run_until(events_.now() + scenario_.length + longest_deadline);
-    result_.note_bytes(own_bytes_, all_bytes_);
+    result_.note_own_bytes(own_bytes_);
     result_.note_imbalance(busiest_over_mean());
 }
 
@@ -91,12 +90,9 @@
     truth_.apply(++made_, replace_configuration{configuration});
 }
 
-void lab_world::add_balancer(std::size_t index)
+/** Makes a node known by its address, and takes what it sends. */
+void lab_world::connect(node& added)
 {
-    balancers_.push_back(std::make_unique<balancer_node>(scenario_.link_kbit_per_s));
-    balancer_node& added = *balancers_.back();
-    added.data = {balancer_network + static_cast<std::uint32_t>(index) + 1, data_port};
-    added.domain = index % scenario_.failure_domains;
     by_address_[added.data] = &added;
     added.port.on_envelope = [this, &added](const endpoint& to, const packet_envelope& envelope,
                                             const std::string& packet)
@@ -107,6 +103,15 @@
     {
         send_to_client(packet);
     };
+}
+
+void lab_world::add_balancer(std::size_t index)
+{
+    balancers_.push_back(std::make_unique<balancer_node>(scenario_.link_kbit_per_s));
+    balancer_node& added = *balancers_.back();
+    added.data = {balancer_network + static_cast<std::uint32_t>(index) + 1, data_port};
+    added.domain = index % scenario_.failure_domains;
+    connect(added);
     start_balancer(added);
 }
 
@@ -119,7 +124,7 @@
     added.domain = index % scenario_.failure_domains;
     added.name = "server-" + std::to_string(index);
     added.service = &service;
-    by_address_[added.data] = &added;
+    connect(added);
     constexpr duration to_server = std::chrono::microseconds(50);
     added.server = std::make_unique<model_server>(
         events_, service, random_, scenario_.requests,
@@ -136,15 +141,6 @@
                               }
                           });
         });
-    added.port.on_envelope = [this, &added](const endpoint& to, const packet_envelope& envelope,
-                                            const std::string& packet)
-    {
-        send_envelope(added, to, envelope, packet);
-    };
-    added.port.on_client_packet = [this](const std::string& packet)
-    {
-        send_to_client(packet);
-    };
     added.port.on_server_packet = [this, &added, to_server](const std::string& packet)
     {
         events_.after(to_server,
@@ -162,28 +158,34 @@
     which.traffic_table = std::make_shared<const packet_table>();
 }
 
-void lab_world::start_balancer(balancer_node& which)
+/** A process has started: it is up after a while, unless it is stopped before. */
+void lab_world::come_up(node& which, const std::function<void(std::uint64_t life)>& begin)
 {
-    stop_node(which);
-    packet_balancer::options own;
-    own.data = which.data;
-    own.domain = domain_name(which.domain);
-    own.placing = policy_.placing;
-    which.core =
-        std::make_unique<packet_balancer>(own, format_, which.port, which.counters, which.observer);
     events_.after(start_time,
-                  [this, &which, life = which.life]
+                  [this, &which, begin, life = which.life]
                   {
                       if (which.life == life)
                       {
                           which.is_up = true;
                           publish(which);
                           confirm(which, life);
-                          tick_balancer(which, life);
+                          begin(life);
                       }
                   });
 }
 
+void lab_world::start_balancer(balancer_node& which)
+{
+    stop_node(which);
+    packet_balancer::options own;
+    own.data = which.data;
+    own.domain = domain_name(which.domain);
+    own.placing = policy_.placing;
+    which.core =
+        std::make_unique<packet_balancer>(own, format_, which.port, which.counters, which.observer);
+    come_up(which, [this, &which](std::uint64_t life) { tick_balancer(which, life); });
+}
+
 void lab_world::start_agent(agent_node& which)
 {
     stop_node(which);
@@ -195,18 +197,12 @@
     own.requests_ahead = policy_.requests_ahead;
     which.core =
         std::make_unique<packet_agent>(own, format_, which.port, which.counters, which.observer);
-    events_.after(start_time,
-                  [this, &which, life = which.life]
-                  {
-                      if (which.life == life)
-                      {
-                          which.is_up = true;
-                          publish(which);
-                          confirm(which, life);
-                          announce(which, life);
-                          tick_agent(which, life);
-                      }
-                  });
+    come_up(which,
+            [this, &which](std::uint64_t life)
+            {
+                announce(which, life);
+                tick_agent(which, life);
+            });
 }
 
 void lab_world::start_server(agent_node& which)
@@ -273,10 +269,7 @@
     }
     if (truth_.data().held == made_ || known.made_at == made_)
     {
-        for (const auto& [address, other] : by_address_)
-        {
-            publish(*other);
-        }
+        publish_to_all();
     }
     watch_lease(which);
 }
@@ -298,6 +291,11 @@
 void lab_world::change(const carawayshelf::change& edit)
 {
     truth_.apply(++made_, edit);
+    publish_to_all();
+}
+
+void lab_world::publish_to_all()
+{
     for (const auto& [address, other] : by_address_)
     {
         publish(*other);
@@ -335,14 +333,7 @@
     {
         return;
     }
-    if (agent_node* agent = dynamic_cast<agent_node*>(&which))
-    {
-        agent->core->confirm_table(events_.now());
-    }
-    if (balancer_node* balancer = dynamic_cast<balancer_node*>(&which))
-    {
-        balancer->confirmed = events_.now();
-    }
+    which.confirm(events_.now());
     events_.after(confirm_interval, [this, &which, life] { confirm(which, life); });
 }
 
--- a/modules/carawayshelf_lab/lab_world.hpp
+++ b/modules/carawayshelf_lab/lab_world.hpp
@@ -7,6 +7,7 @@
 #include "carawayshelf_lab/model_clients.hpp"
 #include "carawayshelf_wire/packet_envelope.hpp"
 
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -35,8 +36,10 @@
     struct agent_node;
 
     // Nodes, in lab_world.cpp.
+    void connect(node& added);
     void add_balancer(std::size_t index);
     void add_agent(const lab_service& service, std::size_t index);
+    void come_up(node& which, const std::function<void(std::uint64_t life)>& begin);
     void start_balancer(balancer_node& which);
     void start_agent(agent_node& which);
     void stop_node(node& which);
@@ -48,6 +51,7 @@
     void configure();
     void change(const carawayshelf::change& edit);
     void publish(node& which);
+    void publish_to_all();
     void confirm(node& which, std::uint64_t life);
 
     // Load that isn't told with answers, in lab_world_loads.cpp.
@@ -69,8 +73,8 @@
     void begin_event(const lab_event& event);
     void slow_servers(const lab_event& event);
     void fail_servers(const lab_event& event);
-    void lose_power(const lab_event& event);
-    void lose_domain(const lab_event& event);
+    void lose_nodes(const lab_event& event, bool in_first_domain_only);
+    void start_again_after(agent_node& which, duration later);
     void release_servers(const lab_event& event);
     void release_one(agent_node& which);
     void roll_balancers(const lab_event& event);
@@ -90,7 +94,6 @@
     std::unordered_map<endpoint, node*> by_address_;
     model_clients clients_;
     std::uint64_t own_bytes_ = 0;
-    std::uint64_t all_bytes_ = 0;
 };
 
 } // namespace carawayshelf::lab
--- a/modules/carawayshelf_lab/lab_world_events.cpp
+++ b/modules/carawayshelf_lab/lab_world_events.cpp
@@ -44,10 +44,10 @@
         fail_servers(event);
         break;
     case lab_event_kind::power_lost:
-        lose_power(event);
+        lose_nodes(event, false);
         break;
     case lab_event_kind::domain_lost:
-        lose_domain(event);
+        lose_nodes(event, true);
         break;
     case lab_event_kind::release:
         release_servers(event);
@@ -96,31 +96,16 @@
     }
 }
 
-void lab_world::lose_power(const lab_event& event)
+/** Processes and servers end, and start again together. */
+void lab_world::lose_nodes(const lab_event& event, bool in_first_domain_only)
 {
-    for (const std::unique_ptr<balancer_node>& balancer : balancers_)
-    {
-        stop_node(*balancer);
-        events_.after(event.lasts, [this, which = balancer.get()] { start_balancer(*which); });
-    }
-    for (const std::unique_ptr<agent_node>& agent : agents_)
+    const auto is_spared = [in_first_domain_only](const node& which)
     {
-        agent->server->stop();
-        stop_node(*agent);
-        events_.after(event.lasts,
-                      [this, which = agent.get()]
-                      {
-                          start_server(*which);
-                          start_agent(*which);
-                      });
-    }
-}
-
-void lab_world::lose_domain(const lab_event& event)
-{
+        return in_first_domain_only && which.domain != 0;
+    };
     for (const std::unique_ptr<balancer_node>& balancer : balancers_)
     {
-        if (balancer->domain == 0)
+        if (!is_spared(*balancer))
         {
             stop_node(*balancer);
             events_.after(event.lasts, [this, which = balancer.get()] { start_balancer(*which); });
@@ -128,20 +113,26 @@
     }
     for (const std::unique_ptr<agent_node>& agent : agents_)
     {
-        if (agent->domain == 0)
+        if (!is_spared(*agent))
         {
             agent->server->stop();
             stop_node(*agent);
-            events_.after(event.lasts,
-                          [this, which = agent.get()]
-                          {
-                              start_server(*which);
-                              start_agent(*which);
-                          });
+            start_again_after(*agent, event.lasts);
         }
     }
 }
 
+/** Starts an agent with another server beside it. */
+void lab_world::start_again_after(agent_node& which, duration later)
+{
+    events_.after(later,
+                  [this, &which]
+                  {
+                      start_server(which);
+                      start_agent(which);
+                  });
+}
+
 void lab_world::release_servers(const lab_event& event)
 {
     duration later{0};
@@ -166,12 +157,7 @@
                       change(retire_member{which.member});
                       stop_node(which);
                   });
-    events_.after(drains_for + replaced_after,
-                  [this, &which]
-                  {
-                      start_server(which);
-                      start_agent(which);
-                  });
+    start_again_after(which, drains_for + replaced_after);
 }
 
 void lab_world::roll_balancers(const lab_event& event)
--- a/modules/carawayshelf_lab/lab_world_packets.cpp
+++ b/modules/carawayshelf_lab/lab_world_packets.cpp
@@ -42,7 +42,6 @@
     const std::size_t head =
         encode_packet_envelope(envelope, header.data()) + datagram_overhead_bytes;
     const std::size_t bytes = head + bytes_of(packet);
-    all_bytes_ += bytes;
     own_bytes_ += packet.empty() ? head : 0;
     const std::optional<duration> sent = from.link.send(events_.now(), bytes);
     const std::optional<duration> received = receiver->second->link.send(events_.now(), bytes);
--- a/modules/carawayshelf_lab/model_clients.cpp
+++ b/modules/carawayshelf_lab/model_clients.cpp
@@ -13,7 +13,6 @@
 constexpr std::uint32_t client_network = 0x64400000;
 constexpr std::uint32_t service_address = 0xC6120001;
 constexpr std::uint32_t request_bytes = 400;
-constexpr std::uint32_t full_packet_bytes = 1200;
 constexpr duration first_repeat = std::chrono::milliseconds(200);
 constexpr std::uint32_t most_repeats = 8;
 constexpr std::uint32_t acknowledged_packets = 2; ///< Each second packet is acknowledged.
@@ -133,10 +132,8 @@
     packet.head.is_opening = true;
     packet.head.acknowledged = copy;
     send_(flow->domain, packet);
-    const duration next =
-        copy == 0 ? opening_age::first_copy_after
-                  : (copy == 1 ? opening_age::second_copy_after - opening_age::first_copy_after
-                               : opening_age::attempt_lasts - opening_age::second_copy_after);
+    const duration until = copy < 2 ? opening_age::at_copy(copy + 1) : opening_age::attempt_lasts;
+    const duration next = until - opening_age::at_copy(copy);
     events_.after(next,
                   [this, flow, copy]
                   {
@@ -225,7 +222,7 @@
     {
         send_head(flow, false);
     }
-    if (packet.head.data_bytes == full_packet_bytes)
+    if (packet.head.data_bytes == model_packets::full_packet_bytes)
     {
         return;
     }
--- a/modules/carawayshelf_lab/model_link.hpp
+++ b/modules/carawayshelf_lab/model_link.hpp
@@ -23,7 +23,6 @@
      */
     std::optional<duration> send(time_point now, std::size_t bytes)
     {
-        sent_bytes_ += bytes;
         if (kbit_per_s_ == 0)
         {
             return duration(0);
@@ -37,17 +36,11 @@
         return free_at_ - now;
     }
 
-    std::uint64_t sent_bytes() const
-    {
-        return sent_bytes_;
-    }
-
 private:
     static constexpr duration longest_queue = std::chrono::milliseconds(500);
 
     std::uint64_t kbit_per_s_;
     time_point free_at_;
-    std::uint64_t sent_bytes_ = 0;
 };
 
 } // namespace carawayshelf::lab
--- a/modules/carawayshelf_lab/model_server.cpp
+++ b/modules/carawayshelf_lab/model_server.cpp
@@ -10,7 +10,6 @@
 {
 
 constexpr duration failure_time = std::chrono::milliseconds(1);
-constexpr std::uint32_t full_packet_bytes = 1200;
 
 } // namespace
 
@@ -155,12 +154,13 @@
     reply.is_failure = is_failure;
     reply.has_not_run = has_not_run;
     reply.closes = is_draining_;
-    for (std::uint32_t left = bytes; left >= full_packet_bytes; left -= full_packet_bytes)
+    for (std::uint32_t left = bytes; left >= model_packets::full_packet_bytes;
+         left -= model_packets::full_packet_bytes)
     {
-        reply.head.data_bytes = full_packet_bytes;
+        reply.head.data_bytes = model_packets::full_packet_bytes;
         send_(reply);
     }
-    reply.head.data_bytes = std::max<std::uint32_t>(bytes % full_packet_bytes, 1);
+    reply.head.data_bytes = std::max<std::uint32_t>(bytes % model_packets::full_packet_bytes, 1);
     reply.head.is_finish = reply.closes;
     send_(reply);
 }
--- /dev/null
+++ b/modules/carawayshelf_lab/plain_packets.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "carawayshelf_packets/packet_format.hpp"
+
+#include <cstring>
+#include <string>
+
+namespace carawayshelf::lab
+{
+
+/** A packet format for models and tests: a packet is a structure as it is in memory.
+
+    @tparam Layout    has a packet_head named head, and whatever else the model needs
+    @tparam sequence  the member that a reset's sequence goes into */
+template <typename Layout, std::uint32_t Layout::*sequence>
+class plain_packets : public packet_format
+{
+public:
+    using layout = Layout;
+
+    static std::string encode(const layout& packet)
+    {
+        return {reinterpret_cast<const char*>(&packet), sizeof(packet)};
+    }
+
+    static layout read(std::string_view bytes)
+    {
+        layout packet;
+        std::memcpy(static_cast<void*>(&packet), bytes.data(), sizeof(packet));
+        return packet;
+    }
+
+    bool decode(std::string_view bytes, packet_head& head) const override
+    {
+        if (bytes.size() != sizeof(layout))
+        {
+            return false;
+        }
+        head = read(bytes).head;
+        return true;
+    }
+
+    void set_mark(char* bytes, std::uint32_t mark) const override
+    {
+        layout packet = read({bytes, sizeof(layout)});
+        packet.head.mark = mark;
+        packet.head.is_returned = false;
+        std::memcpy(bytes, static_cast<const void*>(&packet), sizeof(packet));
+    }
+
+    std::size_t encode_reset(const packet_flow& flow, std::uint32_t reset_number,
+                             std::uint8_t* buffer) const override
+    {
+        static_assert(sizeof(layout) <= max_reset_bytes, "a reset must fit");
+        layout packet;
+        packet.head.source = flow.service;
+        packet.head.destination = flow.client;
+        packet.head.is_reset = true;
+        packet.*sequence = reset_number;
+        std::memcpy(buffer, static_cast<const void*>(&packet), sizeof(packet));
+        return sizeof(packet);
+    }
+};
+
+} // namespace carawayshelf::lab
--- a/tests/fakes/packet_world_nodes.hpp
+++ b/tests/fakes/packet_world_nodes.hpp
@@ -1,60 +1,14 @@
 #pragma once
 
+#include "carawayshelf_lab/calling_port.hpp"
+#include "carawayshelf_lab/model_link.hpp"
 #include "packet_world.hpp"
 
 namespace carawayshelf::fakes
 {
 
-/** Collects what a core sends, and hands it to the world at once. */
-class world_port : public packet_port
-{
-public:
-    using envelope_sender =
-        std::function<void(const endpoint&, const packet_envelope&, const std::string&)>;
-    using packet_sender = std::function<void(const std::string&)>;
-
-    envelope_sender on_envelope;
-    packet_sender on_client_packet;
-    packet_sender on_server_packet;
-    test_packets format;
-
-    void send_envelope(const endpoint& to, const packet_envelope& envelope,
-                       std::string_view packet) override
-    {
-        on_envelope(to, envelope, std::string(packet));
-    }
-
-    void send_to_client(std::uint32_t /*client_address*/, std::string_view packet) override
-    {
-        on_client_packet(std::string(packet));
-    }
-
-    void send_reset(const packet_flow& flow, std::uint32_t sequence) override
-    {
-        std::string packet(packet_format::max_reset_bytes, '\0');
-        packet.resize(
-            format.encode_reset(flow, sequence, reinterpret_cast<std::uint8_t*>(packet.data())));
-        on_client_packet(packet);
-    }
-
-    void send_to_server(std::string_view packet) override
-    {
-        on_server_packet(std::string(packet));
-    }
-
-    void flush() override
-    {
-    }
-};
-
-/** Forgets decisions. */
-class quiet_observer : public packet_observer
-{
-public:
-    void note(const packet_decision& /*decision*/) override
-    {
-    }
-};
+using world_port = lab::calling_port<test_packets>;
+using quiet_observer = lab::silent_observer;
 
 /** What balancers and agents of the world share. */
 struct world_node
@@ -81,7 +35,8 @@
     std::unique_ptr<packet_balancer> core;
     time_point confirmed;
     bool is_ready = false;
-    time_point link_free; ///< When its link has sent what waits.
+    /** Thin for a few hundred agents. */
+    lab::model_link link{160};
 };
 
 struct packet_world::agent_node : world_node
--- a/tests/fakes/packet_world_traffic.cpp
+++ b/tests/fakes/packet_world_traffic.cpp
@@ -15,9 +15,6 @@
 constexpr std::uint32_t loss_one_in = 100;
 constexpr std::uint32_t answer_bytes = 100;
 
-/** Link of a balancer: thin for a few hundred agents, with a queue of at most so long. */
-constexpr std::uint64_t link_bytes_per_s = 20000;
-constexpr duration longest_link_queue = std::chrono::milliseconds(500);
 constexpr std::size_t datagram_overhead_bytes = 28; ///< Heads of IP and UDP.
 
 /** News of a domain's mark reach an agent in touch sooner than this. */
@@ -123,13 +120,9 @@
         std::array<std::uint8_t, max_packet_envelope_bytes> header{};
         const std::size_t bytes = encode_packet_envelope(envelope, header.data()) + packet_bytes +
                                   datagram_overhead_bytes;
-        const time_point starts = std::max(now_, node->link_free);
-        if (starts - now_ > longest_link_queue)
-        {
-            return false;
-        }
-        node->link_free = starts + std::chrono::microseconds(bytes * 1'000'000 / link_bytes_per_s);
-        waits = node->link_free - now_;
+        const std::optional<duration> sent = node->link.send(now_, bytes);
+        waits = sent.value_or(duration(0));
+        return sent.has_value();
     }
     return true;
 }
