Less work where packets pass, and one piece where there were twins

Reading of the whole change; behaviour stays as it is. - An answer to an inquiry looked through all inquiries; now only one that concludes its own does. - Each packet of a server scanned all waiting openings for expired ones; now only once one can be. - A configuration was copied whole, with the operator's bytes, up to three times a change and once for each group of daemons; history and collection now look at the state's own. - Twins made one: asking all members and asking changed ones; release of early packets at balancer and agent; telling a balancer holder, load or absence; routes by address; updates counted twice. - The HTTP acceptor's handler uses object_life like those of control, so its own case is gone. - An include that nothing used.

--- a/modules/carawayshelf_catalogue/cluster_state.cpp
+++ b/modules/carawayshelf_catalogue/cluster_state.cpp
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 #include <set>
-#include <unordered_map>
+#include <utility>
 
 namespace carawayshelf
 {
@@ -346,9 +346,8 @@
     {
         return accept(data_.configuration_changed_at, current);
     }
-    const traffic_rules before = rules();
-    note_earlier_services(edit.configuration);
-    data_.configuration = edit.configuration;
+    const traffic_configuration before = std::exchange(data_.configuration, edit.configuration);
+    const earlier_services before_earlier = std::exchange(data_.earlier, earlier_after(before));
     data_.configuration_changed_at = now;
     if (is_first)
     {
@@ -356,38 +355,38 @@
     }
     else
     {
-        routes_.note(now, before, rules());
+        routes_.note(now, {before, before_earlier}, rules());
     }
     return accept(now, edit.configuration.version);
 }
 
-void cluster_state::note_earlier_services(const traffic_configuration& next)
+/** Services that got flows of the present routes while another configuration was in force. */
+earlier_services cluster_state::earlier_after(const traffic_configuration& before) const
 {
-    std::unordered_map<endpoint, const traffic_route*> held;
-    for (const traffic_route& route : data_.configuration.routes)
-    {
-        held[route.address] = &route;
-    }
+    const route_index held = index_routes(before);
     earlier_services kept;
-    for (const traffic_route& route : next.routes)
+    for (const traffic_route& route : data_.configuration.routes)
     {
         const auto found = held.find(route.address);
         if (found == held.end())
         {
             continue;
         }
-        const traffic_route* before = found->second;
-        std::vector<std::string> names = std::move(data_.earlier[route.address]);
-        for (const service_share& share : before->shares)
+        std::vector<std::string>& names = kept[route.address];
+        const auto earlier = data_.earlier.find(route.address);
+        if (earlier != data_.earlier.end())
+        {
+            names = earlier->second;
+        }
+        for (const service_share& share : found->second->shares)
         {
             if (std::find(names.begin(), names.end(), share.service) == names.end())
             {
                 names.push_back(share.service);
             }
         }
-        kept[route.address] = std::move(names);
     }
-    data_.earlier = std::move(kept);
+    return kept;
 }
 
 void cluster_state::reassign(generation now, const std::string& service)
@@ -449,26 +448,25 @@
     return update;
 }
 
-/** The traffic configuration as daemons need it. */
-traffic_rules cluster_state::rules() const
+rules_view cluster_state::rules() const
 {
-    traffic_rules value;
-    value.configuration = data_.configuration;
-    value.configuration.content.clear();
-    value.earlier = data_.earlier;
-    return value;
+    return {data_.configuration, data_.earlier};
 }
 
 void cluster_state::collect_rules(generation since, table_update& update) const
 {
     update.has_changed_routes_only = routes_.covers(since);
-    if (!update.has_changed_routes_only)
+    if (update.has_changed_routes_only)
     {
-        update.rules = std::make_shared<const traffic_rules>(rules());
+        update.rules = routes_.collect(since, rules());
+        update.removed_routes = routes_.removed_after(since);
         return;
     }
-    update.rules = routes_.collect(since, rules());
-    update.removed_routes = routes_.removed_after(since);
+    const std::shared_ptr<traffic_rules> whole = std::make_shared<traffic_rules>();
+    whole->configuration = data_.configuration;
+    whole->configuration.content.clear();
+    whole->earlier = data_.earlier;
+    update.rules = whole;
 }
 
 table_update cluster_state::collect_update(generation since, const std::string& only_service) const
--- a/modules/carawayshelf_catalogue/cluster_state.hpp
+++ b/modules/carawayshelf_catalogue/cluster_state.hpp
@@ -94,13 +94,13 @@
     change_result apply_edit(generation now, const replace_configuration& edit);
 
     change_result check_put(const put_service& edit) const;
-    void note_earlier_services(const traffic_configuration& next);
+    earlier_services earlier_after(const traffic_configuration& before) const;
     void reassign(generation now, const std::string& service);
     void remember_answer(change_id id, const change_result& result);
     void forget_old_removals();
     service_update update_of(const service_state& service, generation since) const;
     void collect_rules(generation since, table_update& update) const;
-    traffic_rules rules() const;
+    rules_view rules() const;
 
     contents data_;
     route_history routes_;
--- a/modules/carawayshelf_catalogue/route_history.cpp
+++ b/modules/carawayshelf_catalogue/route_history.cpp
@@ -36,7 +36,7 @@
 }
 
 /** Earlier services of a route that its shares don't name. */
-std::set<std::string> other_services(const traffic_rules& rules, const traffic_route& route)
+std::set<std::string> other_services(const rules_view& rules, const traffic_route& route)
 {
     std::set<std::string> names;
     const auto earlier = rules.earlier.find(route.address);
@@ -61,13 +61,9 @@
     horizon_ = at;
 }
 
-void route_history::note(generation now, const traffic_rules& before, const traffic_rules& next)
+void route_history::note(generation now, const rules_view& before, const rules_view& next)
 {
-    std::unordered_map<endpoint, const traffic_route*> earlier;
-    for (const traffic_route& route : before.configuration.routes)
-    {
-        earlier[route.address] = &route;
-    }
+    route_index earlier = index_routes(before.configuration);
     for (const traffic_route& route : next.configuration.routes)
     {
         const auto found = earlier.find(route.address);
@@ -99,7 +95,7 @@
 }
 
 std::shared_ptr<const traffic_rules> route_history::collect(generation since,
-                                                            const traffic_rules& now) const
+                                                            const rules_view& now) const
 {
     const std::shared_ptr<traffic_rules> changed = std::make_shared<traffic_rules>();
     changed->configuration.version = now.configuration.version;
--- a/modules/carawayshelf_catalogue/route_history.hpp
+++ b/modules/carawayshelf_catalogue/route_history.hpp
@@ -20,7 +20,7 @@
     void start(generation at);
 
     /** A configuration has replaced another one. */
-    void note(generation now, const traffic_rules& before, const traffic_rules& next);
+    void note(generation now, const rules_view& before, const rules_view& next);
 
     /** Whether it is known what changed after a generation. */
     bool covers(generation since) const
@@ -30,7 +30,7 @@
 
     /** What changed after a generation: the routes that did, with their earlier services, and the
         services' rules if any did. Precondition: covers(since). */
-    std::shared_ptr<const traffic_rules> collect(generation since, const traffic_rules& now) const;
+    std::shared_ptr<const traffic_rules> collect(generation since, const rules_view& now) const;
 
     /** Addresses of routes that were removed after a generation. */
     std::vector<endpoint> removed_after(generation since) const;
--- a/modules/carawayshelf_catalogue/table_update.hpp
+++ b/modules/carawayshelf_catalogue/table_update.hpp
@@ -39,6 +39,13 @@
     earlier_services earlier;
 };
 
+/** A configuration and the services that got flows of its routes before, wherever they are held. */
+struct rules_view
+{
+    const traffic_configuration& configuration;
+    const earlier_services& earlier;
+};
+
 /** What a subscriber lacks: from its own generation to a newer one. */
 struct table_update
 {
--- a/modules/carawayshelf_catalogue/traffic_configuration.cpp
+++ b/modules/carawayshelf_catalogue/traffic_configuration.cpp
@@ -31,6 +31,16 @@
 
 } // namespace
 
+route_index index_routes(const traffic_configuration& configuration)
+{
+    route_index index;
+    for (const traffic_route& route : configuration.routes)
+    {
+        index[route.address] = &route;
+    }
+    return index;
+}
+
 std::vector<std::string> find_configuration_faults(const traffic_configuration& configuration)
 {
     std::vector<std::string> faults;
--- a/modules/carawayshelf_catalogue/traffic_configuration.hpp
+++ b/modules/carawayshelf_catalogue/traffic_configuration.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace carawayshelf
@@ -59,6 +60,12 @@
     std::string content;               ///< What the operator sent, byte by byte.
 };
 
+/** Routes of a configuration by their addresses. */
+using route_index = std::unordered_map<endpoint, const traffic_route*>;
+
+/** The index of a configuration, which must outlive it. Thread-safe. */
+route_index index_routes(const traffic_configuration& configuration);
+
 /** Checks a whole configuration. Returns every fault as one line: the place, what was seen, and
     the remedy; nothing when it is good. Thread-safe. */
 std::vector<std::string> find_configuration_faults(const traffic_configuration& configuration);
--- a/modules/carawayshelf_io/control_server.hpp
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -42,8 +42,6 @@
     std::atomic<std::uint64_t> broken_frames{0};
     std::atomic<std::uint64_t> syncs{0};
     std::atomic<std::uint64_t> storage_failures{0};
-    std::atomic<std::uint64_t> updates_sent{0};
-    std::atomic<std::uint64_t> update_bytes{0};
     std::atomic<std::uint64_t> generation{0};
     std::atomic<std::uint64_t> term{0};
     std::atomic<std::uint64_t> is_leader{0};
--- a/modules/carawayshelf_io/control_server_requests.cpp
+++ b/modules/carawayshelf_io/control_server_requests.cpp
@@ -1,4 +1,3 @@
-#include "carawayshelf_catalogue/entry_validation.hpp"
 #include "carawayshelf_io/control_server.hpp"
 #include "carawayshelf_io/json_log.hpp"
 #include "carawayshelf_io/steady_time.hpp"
--- a/modules/carawayshelf_io/control_server_subscribers.cpp
+++ b/modules/carawayshelf_io/control_server_subscribers.cpp
@@ -97,8 +97,6 @@
         bytes = std::make_shared<const std::string>(encode_frame(update));
     }
     to.connection->send_encoded(frame_kind::update, bytes);
-    ++counters_.updates_sent;
-    counters_.update_bytes += bytes->size();
     to.sent = current;
 }
 
--- a/modules/carawayshelf_io/http_server.cpp
+++ b/modules/carawayshelf_io/http_server.cpp
@@ -173,19 +173,14 @@
 
 void http_server::accept_next()
 {
-    acceptor_.async_accept(
-        [this, shared = shared_](const boost::system::error_code& error,
-                                 boost::asio::ip::tcp::socket socket)
+    acceptor_.async_accept(life_.guard(
+        [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket)
         {
-            if (error == boost::asio::error::operation_aborted)
-            {
-                return; // It stops, or is gone.
-            }
             if (!error)
             {
                 std::make_shared<http_session>(std::move(socket), handler_, shared_)->read_next();
             }
-            else if (!shared->is_stopping)
+            else if (acceptor_.is_open())
             {
                 log_warning("an HTTP connection was not accepted: " + error.message());
             }
@@ -193,7 +188,7 @@
             {
                 accept_next();
             }
-        });
+        }));
 }
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_io/http_server.hpp
+++ b/modules/carawayshelf_io/http_server.hpp
@@ -2,6 +2,7 @@
 
 #include "carawayshelf_core/endpoint.hpp"
 #include "carawayshelf_core/error.hpp"
+#include "carawayshelf_io/object_life.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -81,6 +82,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     http_handler handler_;
     std::shared_ptr<shared_state> shared_ = std::make_shared<shared_state>();
+    object_life life_;
 };
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_packets/early_packets.hpp
+++ b/modules/carawayshelf_packets/early_packets.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carawayshelf_core/clock_time.hpp"
+#include "carawayshelf_packets/packet_port.hpp"
 #include "carawayshelf_wire/packet_envelope.hpp"
 
 #include <cstddef>
@@ -38,6 +39,24 @@
         @param dropped  is set to how many were */
     std::deque<item> take(time_point now, std::size_t& dropped);
 
+    /** Hands out all that are still worth sending, marked as early, one after the other, and has
+       them sent. The others are dropped.
+        @param hand_out  takes an item; what it sends may stay in the item's memory
+        @return how many were dropped */
+    template <typename HandOut>
+    std::size_t release(time_point now, packet_port& port, const HandOut& hand_out)
+    {
+        std::size_t dropped = 0;
+        std::deque<item> kept = take(now, dropped);
+        for (item& early : kept)
+        {
+            early.envelope.flags |= opening_flag_early;
+            hand_out(early);
+        }
+        port.flush(); // It sends from the items' memory.
+        return dropped;
+    }
+
     bool is_empty() const
     {
         return items_.empty();
--- a/modules/carawayshelf_packets/flow_inquiries.cpp
+++ b/modules/carawayshelf_packets/flow_inquiries.cpp
@@ -5,6 +5,28 @@
 namespace carawayshelf
 {
 
+/** Has the members asked that changed after the table by which the others were, all of them in a
+   new inquiry. Returns them. */
+std::vector<endpoint> flow_inquiries::add_outstanding(const packet_table& table,
+                                                      const packet_route& route,
+                                                      const endpoint& own, inquiry& item)
+{
+    std::set<endpoint> asked;
+    for (const std::uint32_t service : route.services)
+    {
+        for (const packet_member& who : table.members_of(service))
+        {
+            if (who.data != own && who.changed_at > item.asked_by)
+            {
+                asked.insert(who.data);
+            }
+        }
+    }
+    item.asked_by = table.held();
+    item.outstanding.insert(asked.begin(), asked.end());
+    return {asked.begin(), asked.end()};
+}
+
 std::vector<endpoint> flow_inquiries::start(time_point now, const packet_table& table,
                                             const packet_route& route, const endpoint& own,
                                             const packet_envelope& envelope,
@@ -14,30 +36,20 @@
     added.envelope = envelope;
     added.packet = std::string(packet);
     added.began = now;
-    added.asked_by = table.held();
     added.needed = envelope.held;
-    for (const std::uint32_t service : route.services)
-    {
-        for (const packet_member& who : table.members_of(service))
-        {
-            if (who.data != own)
-            {
-                added.outstanding.insert(who.data);
-            }
-        }
-    }
-    return {added.outstanding.begin(), added.outstanding.end()};
+    return add_outstanding(table, route, own, added);
 }
 
-void flow_inquiries::take_absent(const packet_flow& flow, const endpoint& member, generation held)
+bool flow_inquiries::take_absent(const packet_flow& flow, const endpoint& member, generation held)
 {
     const auto found = inquiries_.find(flow);
     if (found == inquiries_.end())
     {
-        return;
+        return false;
     }
     found->second.outstanding.erase(member);
     found->second.needed = std::max(found->second.needed, held);
+    return is_concluded(found->second);
 }
 
 std::vector<flow_inquiries::question> flow_inquiries::take_table(const packet_table& table,
@@ -47,28 +59,14 @@
     for (auto& [flow, item] : inquiries_)
     {
         const packet_route* route = table.find_route(flow.service);
-        question asked;
         if (route == nullptr || item.asked_by >= table.held())
         {
             continue; // A route that is gone is refused when the packet comes again.
         }
-        for (const std::uint32_t service : route->services)
-        {
-            for (const packet_member& who : table.members_of(service))
-            {
-                if (who.data != own && who.changed_at > item.asked_by)
-                {
-                    asked.members.push_back(who.data);
-                    item.outstanding.insert(who.data);
-                }
-            }
-        }
-        item.asked_by = table.held();
-        if (!asked.members.empty())
+        std::vector<endpoint> members = add_outstanding(table, *route, own, item);
+        if (!members.empty())
         {
-            asked.envelope = item.envelope;
-            asked.packet = item.packet;
-            questions.push_back(std::move(asked));
+            questions.push_back({item.envelope, item.packet, std::move(members)});
         }
     }
     return questions;
--- a/modules/carawayshelf_packets/flow_inquiries.hpp
+++ b/modules/carawayshelf_packets/flow_inquiries.hpp
@@ -70,9 +70,9 @@
         return inquiries_.size();
     }
 
-    /** A member doesn't hold the flow.
+    /** A member doesn't hold the flow. Returns whether that concludes the inquiry.
         @param held  the table that it goes by */
-    void take_absent(const packet_flow& flow, const endpoint& member, generation held);
+    bool take_absent(const packet_flow& flow, const endpoint& member, generation held);
 
     /** A member holds the flow. */
     void take_holder(const packet_flow& flow)
@@ -96,6 +96,10 @@
         return item.outstanding.empty() && item.needed <= item.asked_by;
     }
 
+    static std::vector<endpoint> add_outstanding(const packet_table& table,
+                                                 const packet_route& route, const endpoint& own,
+                                                 inquiry& item);
+
     template <typename Predicate>
     std::vector<inquiry> take_if(const Predicate& picks);
 
--- a/modules/carawayshelf_packets/opening_queue.cpp
+++ b/modules/carawayshelf_packets/opening_queue.cpp
@@ -12,6 +12,7 @@
     const place own{is_late, priority, is_late ? opening.give_up : opening.late_after,
                     ++last_arrival_};
     places_[opening.flow] = own;
+    next_expiry_ = std::min(next_expiry_, opening.give_up);
     waiting_.emplace(own, std::move(opening));
 }
 
@@ -59,10 +60,16 @@
 std::vector<waiting_opening> opening_queue::take_expired(time_point now)
 {
     std::vector<waiting_opening> expired;
+    if (now < next_expiry_)
+    {
+        return expired;
+    }
+    next_expiry_ = time_point::max();
     for (auto item = waiting_.begin(); item != waiting_.end();)
     {
         if (now < item->second.give_up)
         {
+            next_expiry_ = std::min(next_expiry_, item->second.give_up);
             ++item;
             continue;
         }
--- a/modules/carawayshelf_packets/opening_queue.hpp
+++ b/modules/carawayshelf_packets/opening_queue.hpp
@@ -85,6 +85,7 @@
 
     std::map<place, waiting_opening> waiting_;
     std::unordered_map<packet_flow, place, packet_flow_hasher> places_;
+    time_point next_expiry_ = time_point::max(); ///< None is over before this.
     std::uint64_t last_arrival_ = 0;
 };
 
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -72,19 +72,17 @@
     {
         return;
     }
-    std::size_t dropped = 0;
-    std::deque<early_packets::item> kept = early_.take(now, dropped);
+    const std::size_t dropped =
+        early_.release(now, port_,
+                       [this, now](early_packets::item& early)
+                       {
+                           client_packet packet{{}, early.packet.data(), early.packet.size()};
+                           if (format_.decode(packet.bytes(), packet.head))
+                           {
+                               take_packet(now, early.envelope, packet);
+                           }
+                       });
     counters_.drops.add(packet_drop::no_table, dropped);
-    for (early_packets::item& early : kept)
-    {
-        client_packet packet{{}, early.packet.data(), early.packet.size()};
-        if (format_.decode(packet.bytes(), packet.head))
-        {
-            early.envelope.flags |= opening_flag_early;
-            take_packet(now, early.envelope, packet);
-        }
-    }
-    port_.flush(); // It sends from the packets' own memory.
 }
 
 void packet_agent::note_changes(time_point now, const packet_table& next)
@@ -183,7 +181,7 @@
     {
         if (known->second.state == flow_state::opening)
         {
-            tell_holder(now, packet.flow(), envelope.balancer);
+            tell_balancer(now, packet_envelope_kind::holder, packet.flow(), envelope.balancer);
             deliver(envelope, packet);
         }
         return; // A late copy of the packet that opened the flow.
@@ -191,7 +189,7 @@
     const duration silence = opening_age::silence_after(packet.head.acknowledged);
     if (waiting_.hear_copy(now + silence, packet.flow()))
     {
-        tell_holder(now, packet.flow(), envelope.balancer);
+        tell_balancer(now, packet_envelope_kind::holder, packet.flow(), envelope.balancer);
         return; // A copy of one that waits.
     }
     decide_opening(now, envelope, route, packet);
@@ -271,7 +269,7 @@
     placed.used = now;
     start_request(now, placed);
     ++counters_.placed;
-    tell_holder(now, packet.flow(), envelope.balancer);
+    tell_balancer(now, packet_envelope_kind::holder, packet.flow(), envelope.balancer);
     deliver(envelope, packet);
 }
 
@@ -318,7 +316,8 @@
     waiting_.add(now, route.priority,
                  {envelope, packet.flow(), std::string(packet.bytes()), now + left, now + in_time,
                   now + opening_age::silence_after(copy)});
-    tell_holder(now, packet.flow(), envelope.balancer); // Copies come here.
+    // Copies come here.
+    tell_balancer(now, packet_envelope_kind::holder, packet.flow(), envelope.balancer);
     return true;
 }
 
@@ -353,7 +352,7 @@
 /** Resets the flow, unless a later copy of its opening packet may have opened it elsewhere. */
 void packet_agent::refuse(time_point now, const packet_envelope& envelope, const packet_head& head)
 {
-    tell_load(now, envelope.balancer);
+    tell_balancer(now, packet_envelope_kind::load, {}, envelope.balancer);
     if ((envelope.flags & opening_flag_early) != 0)
     {
         note_dropped(packet_drop::too_late, envelope, head);
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -173,17 +173,6 @@
     void pass_on(time_point now, packet_envelope envelope, const packet_route& route,
                  const client_packet& packet, pass_reason why);
     endpoint next_candidate(packet_envelope& envelope) const;
-    void inquire(time_point now, const packet_envelope& envelope, const packet_route& route,
-                 const client_packet& packet);
-    void ask(const packet_envelope& envelope, const std::vector<endpoint>& members,
-             std::string_view packet);
-    void ask_changed_members();
-    void conclude_inquiries(time_point now);
-    void drop_expired_inquiries(time_point now);
-    void take_inquiry_answer(time_point now, const packet_envelope& answer);
-    void answer_inquiry(time_point now, packet_envelope_kind kind, const packet_flow& key,
-                        const endpoint& asker);
-    void tell_where_it_is(time_point now, const packet_flow& key, flow& item);
     void pass_opening_on(time_point now, packet_envelope envelope, const packet_route& route,
                          const client_packet& packet);
     bool add_unvisited(packet_envelope& envelope, const packet_route& route) const;
@@ -192,9 +181,8 @@
     void note_reset(packet_reset reason, const packet_envelope& envelope, const packet_head& head);
     void note(const char* what, std::string_view reason, const packet_envelope& envelope,
               const packet_head& head);
-    void tell_holder(time_point now, const packet_flow& key, const endpoint& balancer);
-    void tell_absent(time_point now, const packet_flow& key, const endpoint& balancer);
-    void tell_load(time_point now, const endpoint& balancer);
+    void tell_balancer(time_point now, packet_envelope_kind kind, const packet_flow& key,
+                       const endpoint& balancer);
     packet_envelope describe_load(time_point now, packet_envelope_kind kind) const;
     void release_unanswered(time_point now);
     void start_request(time_point now, flow& item);
@@ -203,6 +191,19 @@
     void forget_old_flows(time_point now);
     const std::string& service() const;
 
+    // Flows that are looked for at all members, in packet_agent_inquiries.cpp.
+    void inquire(time_point now, const packet_envelope& envelope, const packet_route& route,
+                 const client_packet& packet);
+    void ask(const packet_envelope& envelope, const std::vector<endpoint>& members,
+             std::string_view packet);
+    void ask_changed_members();
+    void conclude_inquiries(time_point now);
+    void drop_expired_inquiries(time_point now);
+    void take_inquiry_answer(time_point now, const packet_envelope& answer);
+    void answer_inquiry(time_point now, packet_envelope_kind kind, const packet_flow& key,
+                        const endpoint& asker);
+    void tell_where_it_is(time_point now, const packet_flow& key, flow& item);
+
     options own_;
     const packet_format& format_;
     packet_port& port_;
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -33,7 +33,7 @@
     ++counters_.received;
     if (envelope.kind == packet_envelope_kind::probe)
     {
-        tell_load(now, envelope.balancer);
+        tell_balancer(now, packet_envelope_kind::load, {}, envelope.balancer);
         return;
     }
     if (envelope.kind == packet_envelope_kind::absent ||
@@ -191,7 +191,8 @@
     }
     if (envelope.position == 0 && envelope.candidate_count == 1)
     {
-        tell_absent(now, packet.flow(), envelope.balancer); // It remembers the flow here.
+        // It remembers the flow here.
+        tell_balancer(now, packet_envelope_kind::absent, packet.flow(), envelope.balancer);
     }
     const endpoint next = next_candidate(envelope);
     if (next.is_none())
@@ -236,7 +237,7 @@
         decide_opening(now, envelope, route, packet);
         return;
     }
-    tell_load(now, envelope.balancer);
+    tell_balancer(now, packet_envelope_kind::load, {}, envelope.balancer);
     port_.send_envelope(next, envelope, packet.bytes());
 }
 
@@ -293,29 +294,15 @@
     observer_.note(decision);
 }
 
-void packet_agent::tell_holder(time_point now, const packet_flow& key, const endpoint& balancer)
+void packet_agent::tell_balancer(time_point now, packet_envelope_kind kind, const packet_flow& key,
+                                 const endpoint& balancer)
 {
-    packet_envelope told = describe_load(now, packet_envelope_kind::holder);
+    packet_envelope told = describe_load(now, kind);
     told.balancer = balancer;
     told.flow = key;
     port_.send_envelope(balancer, told, {});
 }
 
-void packet_agent::tell_absent(time_point now, const packet_flow& key, const endpoint& balancer)
-{
-    packet_envelope told = describe_load(now, packet_envelope_kind::absent);
-    told.balancer = balancer;
-    told.flow = key;
-    port_.send_envelope(balancer, told, {});
-}
-
-void packet_agent::tell_load(time_point now, const endpoint& balancer)
-{
-    packet_envelope told = describe_load(now, packet_envelope_kind::load);
-    told.balancer = balancer;
-    port_.send_envelope(balancer, told, {});
-}
-
 packet_envelope packet_agent::describe_load(time_point now, packet_envelope_kind kind) const
 {
     packet_envelope told;
--- a/modules/carawayshelf_packets/packet_agent_inquiries.cpp
+++ b/modules/carawayshelf_packets/packet_agent_inquiries.cpp
@@ -23,9 +23,13 @@
     asked.balancer = envelope.balancer;
     asked.flow = packet.flow();
     asked.add_candidate(own_.data);
-    ask(asked, inquiries_.start(now, *table_, route, own_.data, asked, packet.bytes()),
-        packet.bytes());
-    conclude_inquiries(now); // There may be nobody to ask.
+    const std::vector<endpoint> members =
+        inquiries_.start(now, *table_, route, own_.data, asked, packet.bytes());
+    ask(asked, members, packet.bytes());
+    if (members.empty())
+    {
+        conclude_inquiries(now);
+    }
 }
 
 void packet_agent::ask(const packet_envelope& envelope, const std::vector<endpoint>& members,
@@ -88,9 +92,9 @@
         inquiries_.take_holder(answer.flow);
         return;
     }
-    if (answer.candidate_count == 1)
+    if (answer.candidate_count == 1 &&
+        inquiries_.take_absent(answer.flow, answer.candidates[0], answer.held))
     {
-        inquiries_.take_absent(answer.flow, answer.candidates[0], answer.held);
         conclude_inquiries(now);
     }
 }
@@ -111,7 +115,7 @@
     {
         return;
     }
-    tell_holder(now, key, item.balancer);
+    tell_balancer(now, packet_envelope_kind::holder, key, item.balancer);
     if (!item.asker.is_none())
     {
         answer_inquiry(now, packet_envelope_kind::holder, key, item.asker);
--- a/modules/carawayshelf_packets/packet_balancer.cpp
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -103,16 +103,11 @@
     {
         return;
     }
-    std::size_t dropped = 0;
-    const std::deque<early_packets::item> kept = early_.take(now, dropped);
+    const std::size_t dropped =
+        early_.release(now, port_,
+                       [this, now, &table, is_fresh](early_packets::item& early)
+                       { relay(now, table, is_fresh, early.envelope, early.packet); });
     counters_.drops.add(packet_drop::no_table, dropped);
-    for (const early_packets::item& early : kept)
-    {
-        packet_envelope envelope;
-        envelope.flags = opening_flag_early;
-        relay(now, table, is_fresh, envelope, early.packet);
-    }
-    port_.flush(); // It sends from the packets' own memory.
 }
 
 void packet_balancer::note(const char* what, std::string_view reason,
@@ -293,21 +288,19 @@
     {
     case packet_envelope_kind::holder:
         cache_.put(hash_flow(envelope.flow), sender, now);
-        loads_.take_report(now, sender, load_of(envelope));
-        return;
-    case packet_envelope_kind::load:
-        loads_.take_report(now, sender, load_of(envelope));
-        return;
+        break;
     case packet_envelope_kind::absent:
         cache_.forget(hash_flow(envelope.flow), sender);
-        loads_.take_report(now, sender, load_of(envelope));
-        return;
+        break;
+    case packet_envelope_kind::load:
+        break;
     case packet_envelope_kind::packet:
     case packet_envelope_kind::probe:
     case packet_envelope_kind::inquiry:
         counters_.drops.add(packet_drop::malformed);
         return;
     }
+    loads_.take_report(now, sender, load_of(envelope));
 }
 
 void packet_balancer::tick(time_point now, const packet_table& table)
