--- a/modules/carawayshelf_lab/calling_port.hpp
+++ b/modules/carawayshelf_lab/calling_port.hpp
@@ -33,8 +33,8 @@
     void send_reset(const packet_flow& flow, std::uint32_t sequence) override
     {
         std::string packet(packet_format::max_reset_bytes, '\0');
-        packet.resize(Format().encode_reset(flow, sequence,
-                                            reinterpret_cast<std::uint8_t*>(packet.data())));
+        packet.resize(
+            Format().encode_reset(flow, sequence, reinterpret_cast<std::uint8_t*>(packet.data())));
         on_client_packet(packet);
     }
 
