Consensus: a follower that answers late hears at once what is committed

Cause: the leader tells its commit index when it commits, but not to a follower whose append was still under way; that one heard it with the next heartbeat, up to 50 ms later, and was not current until then. After a loss of all power its daemons wait for that. Ruled out: its answer or its disk. Test: consensus/a_follower_that_answers_late_hears_at_once_what_is_committed, failed before (commit index 1 instead of 2); control histories pass.

--- a/modules/carawayshelf_consensus/consensus_core.cpp
+++ b/modules/carawayshelf_consensus/consensus_core.cpp
@@ -353,6 +353,7 @@
     append.index = progress.next - 1;
     append.index_term = log_.term_at(append.index);
     append.commit = commit_;
+    progress.commit_told = commit_;
     append.round = round_;
     append.records = log_.copy_from(progress.next, settings_.most_records, settings_.most_bytes);
     output_.messages.push_back(std::move(append));
@@ -585,7 +586,9 @@
     }
     confirm_reads();
     advance_commit(now);
-    if (role_ == consensus_role::leader && progress.next <= log_.last_index() && !progress.waiting)
+    const bool has_news = progress.next <= log_.last_index() ||
+                          progress.commit_told < std::min(commit_, progress.match);
+    if (role_ == consensus_role::leader && has_news && !progress.waiting)
     {
         send_append(now, received.from, progress);
     }
--- a/modules/carawayshelf_consensus/consensus_core.hpp
+++ b/modules/carawayshelf_consensus/consensus_core.hpp
@@ -164,8 +164,9 @@
     {
         log_index next = 1;
         log_index match = 0;
-        bool waiting = false;    ///< An append is under way.
-        bool installing = false; ///< A snapshot is under way; it is not sent again at once.
+        log_index commit_told = 0; ///< Commit index of the last append.
+        bool waiting = false;      ///< An append is under way.
+        bool installing = false;   ///< A snapshot is under way; it is not sent again at once.
         time_point sent;
         time_point heard;
         std::uint64_t confirmed_round = 0;
--- /dev/null
+++ b/tests/unit/consensus_test.cpp
@@ -0,0 +1,112 @@
+/** @file
+    The consensus core alone, message by message.
+*/
+#include "carawayshelf_consensus/consensus_core.hpp"
+#include "carawayshelf_consensus/voter_renewal.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+constexpr instance_slot slots = 3;
+
+/** Three instances that have just started with the same log; messages wait until they are carried.
+ */
+struct trio
+{
+    trio()
+    {
+        stored_state stored;
+        stored.hard = {1, 0};
+        stored.base.index = 1;
+        stored.base.term = 1;
+        for (instance_slot slot = 1; slot <= slots; ++slot)
+        {
+            stored.base.voters.push_back(first_identity(slot));
+        }
+        for (const instance_id voter : stored.base.voters)
+        {
+            stored.identity = voter;
+            cores.emplace(voter, consensus_core(consensus_settings{}, stored, voter, now));
+        }
+    }
+
+    /** Carries out what an instance wants to do; its messages wait. */
+    void drive(instance_id which)
+    {
+        consensus_core& core = cores.at(which);
+        for (consensus_output output = core.take_output(); !output.is_empty();
+             output = core.take_output())
+        {
+            core.persisted(now);
+            waiting.insert(waiting.end(), output.messages.begin(), output.messages.end());
+        }
+    }
+
+    /** Delivers what waits to one instance, and has it carry out what follows. */
+    void deliver_to(instance_id which)
+    {
+        std::vector<message> others;
+        for (const message& value : std::exchange(waiting, {}))
+        {
+            value.to == which ? cores.at(which).receive(now, value) : others.push_back(value);
+        }
+        drive(which);
+        waiting.insert(waiting.end(), others.begin(), others.end());
+    }
+
+    time_point now{std::chrono::seconds(100)};
+    std::map<instance_id, consensus_core> cores;
+    std::vector<message> waiting;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(consensus)
+
+/** After a loss of all power each daemon has to wait until its instance is current, so a follower
+    that answers after the others must not wait for the next heartbeat. */
+BOOST_AUTO_TEST_CASE(a_follower_that_answers_late_hears_at_once_what_is_committed)
+{
+    trio all;
+    const instance_id leader = first_identity(1);
+    const instance_id quick = first_identity(2);
+    const instance_id late = first_identity(3);
+    all.now += std::chrono::milliseconds(70);
+    all.cores.at(leader).tick(all.now);
+    all.drive(leader);
+    for (int way = 0; way < 2; ++way) // The votes before the election, and those of it.
+    {
+        all.deliver_to(quick);
+        all.deliver_to(late);
+        all.deliver_to(leader);
+    }
+    BOOST_REQUIRE((all.cores.at(leader).role() == consensus_role::leader));
+    all.deliver_to(quick);
+    all.deliver_to(leader); // Commits; what it sends the late one has no answer yet.
+    all.deliver_to(quick);
+    BOOST_TEST(all.cores.at(quick).is_current(all.now));
+    all.deliver_to(late);
+    all.deliver_to(leader);
+    all.deliver_to(late);
+    BOOST_TEST(all.cores.at(late).is_current(all.now));
+    BOOST_TEST(all.cores.at(late).commit_index() == all.cores.at(leader).commit_index());
+    // And then all is quiet until the next heartbeat.
+    for (int way = 0; way < 3; ++way)
+    {
+        all.deliver_to(leader);
+        all.deliver_to(quick);
+        all.deliver_to(late);
+    }
+    BOOST_TEST(all.waiting.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace carawayshelf
--- a/tests/unit/control_updates_test.cpp
+++ b/tests/unit/control_updates_test.cpp
@@ -66,8 +66,14 @@
 BOOST_AUTO_TEST_CASE(an_encoding_is_not_used_for_another_state)
 {
     encoded_updates updates;
-    const auto first = [] { return std::string("first"); };
-    const auto second = [] { return std::string("second"); };
+    const auto first = []
+    {
+        return std::string("first");
+    };
+    const auto second = []
+    {
+        return std::string("second");
+    };
     updates.get({7, 1}, 0, "", first);
     BOOST_TEST(*updates.get({8, 1}, 0, "", second) == "second");
     BOOST_TEST(updates.size() == 1U);
