Control: an identity whose disk was lost is removed before its successor votes

The successor of the first one became a sixth voter, so four of six had to answer, which are all that were left. Ruled out: processor time (the same without), the disk, the identities' connections. Now the identity that can't answer any more goes first: 5, 4, 3, then 4 and 5 voters. The instance says of whom it heard when it gives up its office.

--- a/modules/carawayshelf_consensus/voter_renewal.cpp
+++ b/modules/carawayshelf_consensus/voter_renewal.cpp
@@ -23,6 +23,12 @@
     return std::find(voters.begin(), voters.end(), identity) != voters.end();
 }
 
+std::vector<instance_id> without(std::vector<instance_id> voters, instance_id removed)
+{
+    voters.erase(std::remove(voters.begin(), voters.end(), removed), voters.end());
+    return voters;
+}
+
 } // namespace
 
 instance_slot slot_of(instance_id identity)
@@ -68,28 +74,28 @@
         return false;
     }
     const std::vector<instance_id> voters = core.log().voters();
+    for (const instance_id voter : voters)
+    {
+        const instance_id successor = identity_of(slot_of(voter));
+        if (successor != 0 && successor != voter)
+        {
+            core.add_learner(successor);
+            return core.propose_voters(now, without(voters, voter));
+        }
+    }
     for (const auto& [slot, identity] : identities_)
     {
-        if (!contains(voters, identity))
+        if (contains(voters, identity))
         {
-            core.add_learner(identity);
-            const log_index match = core.match_of(identity);
-            if (match != 0 && match + caught_up_within >= core.commit_index())
-            {
-                std::vector<instance_id> more = voters;
-                more.push_back(identity);
-                return core.propose_voters(now, more);
-            }
             continue;
         }
-        for (const instance_id old : voters)
+        core.add_learner(identity);
+        const log_index match = core.match_of(identity);
+        if (match != 0 && match + caught_up_within >= core.commit_index())
         {
-            if (old != identity && slot_of(old) == slot)
-            {
-                std::vector<instance_id> fewer = voters;
-                fewer.erase(std::find(fewer.begin(), fewer.end(), old));
-                return core.propose_voters(now, fewer);
-            }
+            std::vector<instance_id> more = voters;
+            more.push_back(identity);
+            return core.propose_voters(now, more);
         }
     }
     return slots_ == 0 && remove_lost(now, core);
@@ -133,9 +139,7 @@
     {
         return false;
     }
-    std::vector<instance_id> fewer = voters;
-    fewer.erase(std::find(fewer.begin(), fewer.end(), lost));
-    return core.propose_voters(now, fewer);
+    return core.propose_voters(now, without(voters, lost));
 }
 
 bool voter_renewal::is_safe_to_lose_one(time_point now, const consensus_core& core) const
--- a/modules/carawayshelf_consensus/voter_renewal.hpp
+++ b/modules/carawayshelf_consensus/voter_renewal.hpp
@@ -22,9 +22,12 @@
 /** Identity of a slot at the first start of a whole cluster, which all instances can tell. */
 instance_id first_identity(instance_slot slot);
 
-/** Decides at the leader who votes: an instance that is new in its slot learns first, votes once it
-    has caught up, and only then the identity that its slot had before is removed. So a lost disk is
-    replaced without ever counting on what was lost. Not thread-safe; no I/O. */
+/** Decides at the leader who votes. An identity whose slot has another one now has lost its disk
+   and can't answer any more: it is removed first, since with its successor beside it a majority
+   would take every instance that is left. The successor learns meanwhile, and votes once it has
+   caught up. So a lost disk is replaced without ever counting on what was lost. Not thread-safe; no
+   I/O.
+ */
 class voter_renewal
 {
 public:
--- a/modules/carawayshelf_io/control_client.cpp
+++ b/modules/carawayshelf_io/control_client.cpp
@@ -31,7 +31,7 @@
                                report_source report, update_handler on_update)
     : io_(io), instances_(std::move(instances)), configured_(instances_),
       report_(std::move(report)), on_update_(std::move(on_update)), retry_timer_(io),
-      heartbeat_timer_(io)
+      heartbeat_timer_(io), patience_timer_(io)
 {
     // Daemons start at different instances, so that each instance carries its share of them.
     std::shuffle(instances_.begin(), instances_.end(), std::mt19937(std::random_device{}()));
@@ -101,6 +101,7 @@
     connection_ = std::make_shared<frame_connection>(std::move(socket));
     heard_ = steady_now();
     confirmed_ = steady_now();
+    is_in_touch_ = false;
     connection_->start([this](frame& received) { handle_frame(received); },
                        [this](const failure& why)
                        {
@@ -108,6 +109,43 @@
                            lose_connection();
                        });
     subscribe();
+    watch_for_table();
+}
+
+void control_client::watch_for_table()
+{
+    if (taken_ != 0)
+    {
+        return;
+    }
+    patience_timer_.expires_after(patience_.limit());
+    patience_timer_.async_wait(
+        [this](const boost::system::error_code& error)
+        {
+            if (!error)
+            {
+                leave_if_without_table();
+            }
+        });
+}
+
+void control_client::leave_if_without_table()
+{
+    if (!is_connected() || taken_ != 0 || is_in_touch_)
+    {
+        return;
+    }
+    if (connection_->is_receiving())
+    {
+        watch_for_table(); // On a thin link a table takes its time.
+        return;
+    }
+    patience_.note_tried();
+    const std::shared_ptr<frame_connection> left = connection_;
+    left->close(make_failure(error_kind::no_leader,
+                             "the control instance hears no leader and has no table to give; "
+                             "trying the next one"));
+    connect();
 }
 
 void control_client::subscribe()
@@ -140,6 +178,7 @@
     if (received.probe && received.probe->is_confirmed)
     {
         confirmed_ = steady_now();
+        is_in_touch_ = true;
         if (on_confirmed_)
         {
             on_confirmed_();
@@ -151,6 +190,7 @@
         if (const std::optional<table_update> update = unpack_update(*received.update))
         {
             taken_ = std::max(taken_, update->held);
+            patience_.note_table();
             on_update_(*update);
         }
     }
--- a/modules/carawayshelf_io/control_client.hpp
+++ b/modules/carawayshelf_io/control_client.hpp
@@ -4,6 +4,7 @@
 #include "carawayshelf_core/clock_time.hpp"
 #include "carawayshelf_io/control_protocol.hpp"
 #include "carawayshelf_io/frame_connection.hpp"
+#include "carawayshelf_io/table_patience.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -63,6 +64,8 @@
     void handle_frame(frame& received);
     void lose_connection();
     void drop_if_silent();
+    void watch_for_table();
+    void leave_if_without_table();
     void learn_instances(const std::vector<std::uint64_t>& instances);
     void schedule_heartbeat();
 
@@ -76,11 +79,14 @@
     report_source report_;
     update_handler on_update_;
     std::string service_;
-    generation taken_ = 0; ///< Newest generation taken of this slice.
+    generation taken_ = 0;     ///< Newest generation taken of this slice.
+    bool is_in_touch_ = false; ///< The connected instance has said that it hears a leader.
+    table_patience patience_;
     std::size_t next_ = 0;
     std::shared_ptr<frame_connection> connection_;
     boost::asio::steady_timer retry_timer_;
     boost::asio::steady_timer heartbeat_timer_;
+    boost::asio::steady_timer patience_timer_;
     std::uint64_t last_number_ = 0;
     std::map<std::uint64_t, result_handler> waiting_;
     std::function<void(bool)> on_parked_;
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -30,6 +30,16 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
+std::string join_slots(const std::vector<instance_id>& identities)
+{
+    std::string joined;
+    for (const instance_id identity : identities)
+    {
+        joined += (joined.empty() ? "" : ", ") + std::to_string(slot_of(identity));
+    }
+    return joined;
+}
+
 } // namespace
 
 control_server::control_server(boost::asio::io_context& io, const control_settings& settings)
@@ -594,13 +604,28 @@
     log_info("saved a snapshot at " + std::to_string(taken.index));
 }
 
+void control_server::tick_consensus()
+{
+    const time_point instant = steady_now();
+    const bool was_leading = core_->role() == consensus_role::leader;
+    const std::vector<instance_id> live =
+        was_leading ? core_->live_voters(instant) : std::vector<instance_id>{};
+    core_->tick(instant);
+    if (was_leading && core_->role() != consensus_role::leader)
+    {
+        log_warning("heard of " + std::to_string(live.size()) + " of " +
+                    std::to_string(core_->log().voters().size()) +
+                    " voters within the election timeout (instances " + join_slots(live) + ")");
+    }
+}
+
 void control_server::on_timer()
 {
     resume_storage();
     peers_.connect_missing(steady_now());
     if (is_storing_)
     {
-        core_->tick(steady_now());
+        tick_consensus();
         pump();
     }
     send_due_updates();
--- a/modules/carawayshelf_io/control_server.hpp
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -145,6 +145,7 @@
     void apply_committed(const log_record& record);
     void take_snapshot_if_due();
     void stop(const failure& why);
+    void tick_consensus();
     void on_timer();
     void on_lease_timer();
 
--- a/modules/carawayshelf_io/frame_connection.cpp
+++ b/modules/carawayshelf_io/frame_connection.cpp
@@ -51,6 +51,7 @@
 
 void frame_connection::read_body(std::size_t size)
 {
+    is_receiving_ = true;
     body_.resize(size);
     boost::asio::async_read(
         socket_, boost::asio::buffer(body_),
@@ -61,6 +62,7 @@
                 self->close(make_failure(error_kind::unreachable, error.message()));
                 return;
             }
+            self->is_receiving_ = false;
             frame received;
             const failure broken = decode_frame(self->body_, received);
             if (broken)
--- a/modules/carawayshelf_io/frame_connection.hpp
+++ b/modules/carawayshelf_io/frame_connection.hpp
@@ -48,6 +48,12 @@
         return is_open_;
     }
 
+    /** Whether a frame has begun to arrive and has not ended. */
+    bool is_receiving() const
+    {
+        return is_receiving_;
+    }
+
     std::uint64_t sent_bytes() const
     {
         return sent_bytes_;
@@ -65,6 +71,7 @@
     std::size_t waiting_bytes_ = 0;
     std::uint64_t sent_bytes_ = 0;
     bool is_open_ = true;
+    bool is_receiving_ = false;
     frame_handler on_frame_;
     close_handler on_close_;
 };
--- a/modules/carawayshelf_wire/compression.cpp
+++ b/modules/carawayshelf_wire/compression.cpp
@@ -30,8 +30,7 @@
 
 std::optional<std::string> decompress(std::string_view compressed, std::size_t most)
 {
-    const unsigned long long size =
-        ZSTD_getFrameContentSize(compressed.data(), compressed.size());
+    const unsigned long long size = ZSTD_getFrameContentSize(compressed.data(), compressed.size());
     if (size == ZSTD_CONTENTSIZE_UNKNOWN || size == ZSTD_CONTENTSIZE_ERROR ||
         size > std::min(most, compressed.size() * max_inflation))
     {
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -6,7 +6,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <map>
+#include <vector>
 
 namespace carawayshelf
 {
@@ -14,13 +16,10 @@
 namespace
 {
 
-constexpr instance_slot slots = 3;
-
-/** Three instances that have just started with the same log; messages wait until they are carried.
- */
-struct trio
+/** Instances that have just started with the same log; messages wait until they are carried. */
+struct group
 {
-    trio()
+    explicit group(instance_slot slots)
     {
         stored_state stored;
         stored.hard = {1, 0};
@@ -61,6 +60,23 @@
         waiting.insert(waiting.end(), others.begin(), others.end());
     }
 
+    /** Carries messages among these until none is left; what goes to others is lost. */
+    void settle(const std::vector<instance_id>& alive)
+    {
+        while (!waiting.empty())
+        {
+            for (const instance_id which : alive)
+            {
+                deliver_to(which);
+            }
+            const auto is_lost = [&alive](const message& value)
+            {
+                return std::find(alive.begin(), alive.end(), value.to) == alive.end();
+            };
+            waiting.erase(std::remove_if(waiting.begin(), waiting.end(), is_lost), waiting.end());
+        }
+    }
+
     time_point now{std::chrono::seconds(100)};
     std::map<instance_id, consensus_core> cores;
     std::vector<message> waiting;
@@ -74,7 +90,7 @@
     that answers after the others must not wait for the next heartbeat. */
 BOOST_AUTO_TEST_CASE(a_follower_that_answers_late_hears_at_once_what_is_committed)
 {
-    trio all;
+    group all(3);
     const instance_id leader = first_identity(1);
     const instance_id quick = first_identity(2);
     const instance_id late = first_identity(3);
@@ -107,6 +123,39 @@
     BOOST_TEST(all.waiting.empty());
 }
 
+/** Two of five have lost their disks. As long as a successor votes beside the identity that is
+   lost, four of six have to answer, which are all that are left: one lost segment of a connection
+   then cost the leader its office (hfc-despacho-large, trouble-2). */
+BOOST_AUTO_TEST_CASE(an_identity_whose_disk_was_lost_is_removed_before_its_successor_votes)
+{
+    group all(5);
+    const instance_id leader = first_identity(1);
+    const std::vector<instance_id> left = {leader, first_identity(2), first_identity(3)};
+    all.now += std::chrono::milliseconds(70);
+    all.cores.at(leader).tick(all.now);
+    all.drive(leader);
+    all.settle(left);
+    BOOST_REQUIRE((all.cores.at(leader).role() == consensus_role::leader));
+    voter_renewal renewal(0);
+    const instance_id fourth = make_identity(4, 77);
+    const instance_id fifth = make_identity(5, 77);
+    for (const instance_id known : {left[0], left[1], left[2], fourth, fifth})
+    {
+        renewal.hear(slot_of(known), known);
+    }
+    for (std::size_t step = 0; step < 2; ++step)
+    {
+        BOOST_TEST(renewal.renew(all.now, all.cores.at(leader)));
+        all.drive(leader);
+        all.settle(left);
+        BOOST_TEST(all.cores.at(leader).log().voters().size() == 4U - step);
+    }
+    BOOST_TEST(all.cores.at(leader).log().voters() == left);
+    // Now one of the three may be slow, and what the successors answer counts once they have
+    // learned.
+    BOOST_TEST(!renewal.renew(all.now, all.cores.at(leader)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace carawayshelf
--- a/tests/unit/control_front_test.cpp
+++ b/tests/unit/control_front_test.cpp
@@ -3,8 +3,10 @@
     them, an instance whose disk is lost or takes no more bytes, connections that go silent, and the
     HTTP server with bad input.
 */
+#include "carawayshelf_io/control_client.hpp"
 #include "carawayshelf_io/control_server.hpp"
 #include "carawayshelf_io/http_server.hpp"
+#include "carawayshelf_io/steady_time.hpp"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read.hpp>
@@ -296,6 +298,39 @@
     BOOST_TEST(all.run_until([&all] { return all.read(1).content == "five"; }));
 }
 
+BOOST_AUTO_TEST_CASE(daemons_leave_an_instance_that_has_no_table_for_one_that_has)
+{
+    cluster all;
+    BOOST_REQUIRE(all.replace_until_accepted(0, 1, "one"));
+    control_settings lost = all.all_settings[0]; // Its disk is empty and nobody knows it.
+    lost.is_first_start = false;
+    lost.slot = first_address + 5;
+    lost.address = {lost.slot, all.control_port};
+    lost.peers = {{first_address + 6, all.control_port}};
+    lost.data_folder = all.folder + "/lost";
+    control_server without_table(all.io, lost);
+    BOOST_REQUIRE(!without_table.start());
+    constexpr std::size_t daemons = 16; // Each begins at one of the two by chance.
+    std::size_t served = 0;
+    std::vector<std::unique_ptr<control_client>> clients;
+    const time_point began = steady_now();
+    for (std::size_t i = 0; i < daemons; ++i)
+    {
+        const auto report = [i]
+        {
+            daemon_report value;
+            value.name = "balancer-" + std::to_string(i);
+            return value;
+        };
+        clients.push_back(std::make_unique<control_client>(
+            all.io, std::vector<endpoint>{lost.address, all.all_settings[1].address}, report,
+            [&served](const table_update& update) { served += update.complete ? 1 : 0; }));
+        clients.back()->start();
+    }
+    BOOST_TEST(all.run_until([&served] { return served >= daemons; }));
+    BOOST_TEST((steady_now() - began < std::chrono::seconds(1)));
+}
+
 BOOST_AUTO_TEST_CASE(an_instance_is_not_current_before_it_committed_in_the_present_term)
 {
     stored_state stored;
--- a/tests/unit/control_updates_test.cpp
+++ b/tests/unit/control_updates_test.cpp
@@ -3,6 +3,7 @@
     daemons that hold the same.
 */
 #include "carawayshelf_io/encoded_updates.hpp"
+#include "carawayshelf_io/table_patience.hpp"
 #include "carawayshelf_io/update_gatherer.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -84,6 +85,23 @@
     BOOST_TEST(updates.size() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(instances_without_a_table_get_more_time_one_after_the_other)
+{
+    table_patience patience;
+    BOOST_TEST((patience.limit() == table_patience::shortest));
+    duration total{0};
+    for (int tried = 0; tried < 10; ++tried)
+    {
+        total += patience.limit();
+        patience.note_tried();
+    }
+    BOOST_TEST((patience.limit() == table_patience::longest));
+    // 10,000 daemons at 9 instances: fewer than 1,000 attempts a second at each.
+    BOOST_TEST((total > std::chrono::seconds(8)));
+    patience.note_table();
+    BOOST_TEST((patience.limit() == table_patience::shortest));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace carawayshelf
