Consensus: voters that start together stand one after the other; a loss a moment ago is not called safe

After a start the first voter now stands after 30 ms, each next one 20 ms later. Connections between instances are tried again after 10 ms instead of 30 ms. Trace: three disks were lost within 210 ms, each after the status had called a loss safe. The third time the status counted an identity whose disk was lost 210 ms before: its instance had crashed before it could tell its new identity, and whoever was heard within the election timeout of 300 ms counted. Now only those count that answered within two heartbeats.

--- a/modules/carawayshelf_consensus/consensus_core.cpp
+++ b/modules/carawayshelf_consensus/consensus_core.cpp
@@ -64,13 +64,22 @@
 }
 
 std::vector<instance_id> consensus_core::live_voters(time_point now) const
+{
+    return voters_heard_within(now, settings_.election_timeout);
+}
+
+std::vector<instance_id> consensus_core::answering_voters(time_point now) const
+{
+    return voters_heard_within(now, settings_.heartbeat * 2);
+}
+
+std::vector<instance_id> consensus_core::voters_heard_within(time_point now, duration span) const
 {
     std::vector<instance_id> live;
     for (const instance_id voter : log_.voters())
     {
         const auto found = followers_.find(voter);
-        if (voter == identity_ ||
-            (found != followers_.end() && now - found->second.heard < settings_.election_timeout))
+        if (voter == identity_ || (found != followers_.end() && now - found->second.heard < span))
         {
             live.push_back(voter);
         }
@@ -96,12 +105,24 @@
     return leader_heard_ == time_point() && now - started_ < settings_.start_phase;
 }
 
+std::size_t consensus_core::rank_among_voters() const
+{
+    const std::vector<instance_id>& voters = log_.voters();
+    return static_cast<std::size_t>(std::find(voters.begin(), voters.end(), identity_) -
+                                    voters.begin());
+}
+
 void consensus_core::reset_election_timer(time_point now)
 {
-    const duration timeout =
-        is_starting(now) ? settings_.first_election_timeout : settings_.election_timeout;
-    const std::uint64_t span = static_cast<std::uint64_t>(timeout.count());
-    election_due_ = now + timeout + duration(next_random() % span);
+    if (is_starting(now))
+    {
+        election_due_ =
+            now + settings_.first_election_timeout +
+            settings_.first_election_spacing * static_cast<duration::rep>(rank_among_voters());
+        return;
+    }
+    const std::uint64_t span = static_cast<std::uint64_t>(settings_.election_timeout.count());
+    election_due_ = now + settings_.election_timeout + duration(next_random() % span);
 }
 
 void consensus_core::tick(time_point now)
--- a/modules/carawayshelf_consensus/consensus_core.hpp
+++ b/modules/carawayshelf_consensus/consensus_core.hpp
@@ -18,9 +18,12 @@
 {
     duration heartbeat = std::chrono::milliseconds(50);
     duration election_timeout = std::chrono::milliseconds(300); ///< Up to twice this, at random.
-    /** The same right after a start: a leader that is there is not deposed, since those who hear it
-        refuse their pre-vote. */
+    /** The same right after a start, for the first of the voters: a leader that is there is not
+        deposed, since those who hear it refuse their pre-vote. */
     duration first_election_timeout = std::chrono::milliseconds(30);
+    /** How much longer each next voter waits then: about an election, so that voters that all start
+        at the same moment, as after a loss of power, don't split the votes. */
+    duration first_election_spacing = std::chrono::milliseconds(20);
     duration start_phase = std::chrono::seconds(1);        ///< How long that holds after a start.
     std::size_t most_records = 1024;                       ///< Records in one append.
     std::size_t most_bytes = std::size_t{4} * 1024 * 1024; ///< Payload bytes in one append.
@@ -159,6 +162,10 @@
      */
     std::vector<instance_id> live_voters(time_point now) const;
 
+    /** Voters that have answered the last two heartbeats or one of them, this instance included.
+        Only for the leader. */
+    std::vector<instance_id> answering_voters(time_point now) const;
+
 private:
     struct follower_progress
     {
@@ -182,6 +189,7 @@
     void start_pre_vote(time_point now);
     void start_election(time_point now);
     void become_leader(time_point now);
+    std::vector<instance_id> voters_heard_within(time_point now, duration span) const;
     void broadcast_append(time_point now);
     void send_append(time_point now, instance_id to, follower_progress& progress);
     void send_snapshot(instance_id to, follower_progress& progress);
@@ -203,6 +211,7 @@
     bool is_quorum(std::size_t count) const;
     bool is_starting(time_point now) const;
     void reset_election_timer(time_point now);
+    std::size_t rank_among_voters() const;
     void request_votes(message_kind kind, term_number term);
     message reply_to(const message& received, message_kind kind) const;
     std::uint64_t next_random();
--- a/modules/carawayshelf_consensus/voter_renewal.cpp
+++ b/modules/carawayshelf_consensus/voter_renewal.cpp
@@ -146,7 +146,8 @@
 {
     const std::vector<instance_id>& voters = core.log().voters();
     std::size_t caught_up = 0;
-    for (const instance_id voter : core.live_voters(now))
+    // One that was lost a moment ago must not count.
+    for (const instance_id voter : core.answering_voters(now))
     {
         const bool is_current = identity_of(slot_of(voter)) == voter;
         caught_up += is_current && (voter == core.identity() ||
--- a/modules/carawayshelf_io/peer_links.cpp
+++ b/modules/carawayshelf_io/peer_links.cpp
@@ -13,7 +13,7 @@
 constexpr duration connect_limit = std::chrono::milliseconds(100);
 
 /** Pause after a refused attempt: short beside the start of an instance. */
-constexpr duration retry_interval = std::chrono::milliseconds(30);
+constexpr duration retry_interval = std::chrono::milliseconds(10);
 
 /** An instance that nobody names for this long is forgotten. */
 constexpr duration forget_after = std::chrono::seconds(30);
--- a/modules/carawayshelf_io/table_patience.hpp
+++ b/modules/carawayshelf_io/table_patience.hpp
@@ -7,8 +7,8 @@
 namespace carawayshelf
 {
 
-/** How long a daemon that holds no table stays at a control instance that has not said that it is in
-    touch with a leader. Answers the minute after a loss of all power: an instance that lost its
+/** How long a daemon that holds no table stays at a control instance that has not said that it is
+   in touch with a leader. Answers the minute after a loss of all power: an instance that lost its
     disk, or that no leader has found yet, has no table to give, while another one has. Each next
     instance gets twice the time, so that while no instance can answer, the attempts of many daemons
     don't keep all of them busy. Not thread-safe. */
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -123,6 +123,41 @@
     BOOST_TEST(all.waiting.empty());
 }
 
+/** After a loss of all power five instances start at the same moment; the time until one leads is
+    dark for everybody. Nobody may stand against another one. */
+BOOST_AUTO_TEST_CASE(instances_that_start_at_the_same_moment_do_not_split_the_votes)
+{
+    constexpr duration way = std::chrono::milliseconds(2);
+    constexpr duration most = std::chrono::milliseconds(60);
+    group all(5);
+    std::vector<instance_id> everybody;
+    for (const auto& [identity, core] : all.cores)
+    {
+        everybody.push_back(identity);
+    }
+    const time_point began = all.now;
+    const auto leads = [&all](instance_id which)
+    {
+        return all.cores.at(which).role() == consensus_role::leader;
+    };
+    while (std::none_of(everybody.begin(), everybody.end(), leads) && all.now - began < most * 4)
+    {
+        all.now += way;
+        const std::vector<message> arriving = std::exchange(all.waiting, {});
+        for (const instance_id which : everybody)
+        {
+            all.cores.at(which).tick(all.now);
+            for (const message& value : arriving)
+            {
+                all.cores.at(which).receive(all.now, value);
+            }
+            all.drive(which);
+        }
+    }
+    BOOST_TEST((all.now - began <= most));
+    BOOST_TEST(all.cores.at(everybody.front()).term() == 2U); // One election only.
+}
+
 /** Two of five have lost their disks. As long as a successor votes beside the identity that is
    lost, four of six have to answer, which are all that are left: one lost segment of a connection
    then cost the leader its office (hfc-despacho-large, trouble-2). */
