Servers that fail what they get are found by the time of their answers

The agent now compares the time of each answer, from the request on, with the usual one of its server. Once most answers take less than a quarter of it, new flows go elsewhere, but for a trial each 500 ms (4 s with requests that must not be repeated) and but for those that find no other room; the balancers are told with the loads. The contents of packets are not looked at. Not covered: a server that fails from its first answer on, whose usual time is not known, and one that fails slowly.

--- a/modules/carawayshelf_packets/load_board.cpp
+++ b/modules/carawayshelf_packets/load_board.cpp
@@ -77,6 +77,7 @@
         duration(static_cast<std::int64_t>(rounds * static_cast<double>(service_time.count())));
     estimate.is_closed = known.told.is_closed && age < 1.0;
     estimate.is_cold = known.told.is_cold;
+    estimate.is_failing = known.told.is_failing && age < 1.0;
     estimate.is_suspect = is_suspect(now, known);
     estimate.is_known = age < 1.0;
     return estimate;
--- a/modules/carawayshelf_packets/load_board.hpp
+++ b/modules/carawayshelf_packets/load_board.hpp
@@ -19,6 +19,7 @@
     duration expected{0};
     bool is_closed = false;
     bool is_cold = false;
+    bool is_failing = false; ///< Its backend server seems to fail what it gets.
     bool is_suspect = false; ///< It has left something unanswered.
     bool is_known = false;   ///< It has told its load lately.
 };
@@ -50,6 +51,7 @@
         std::uint32_t slots = 1;
         bool is_closed = false;
         bool is_cold = false;
+        bool is_failing = false;
     };
 
     void take_report(time_point now, const endpoint& agent, const report& told);
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -15,6 +15,9 @@
 /** Requests that a backend server serves at the same time, until it says so itself. */
 constexpr std::uint32_t assumed_slots = 2;
 
+/** Counts as load where a backend server seems to fail what it gets: more than any that waits. */
+constexpr std::uint32_t load_of_failing = 10000;
+
 } // namespace
 
 packet_agent::packet_agent(const options& own, const packet_format& format, packet_port& port,
@@ -126,6 +129,10 @@
     {
         return false;
     }
+    if (!is_known)
+    {
+        failures_.reset();
+    }
     has_server_ = true;
     server_ = announcement;
     announced_ = now;
@@ -203,9 +210,9 @@
     {
         accept(now, envelope, packet);
     }
-    else if (refusal == pass_reason::full)
+    else if (refusal == pass_reason::full || refusal == pass_reason::failing)
     {
-        find_room_elsewhere(now, envelope, route, packet);
+        find_room_elsewhere(now, envelope, route, packet, refusal);
     }
     else
     {
@@ -240,6 +247,10 @@
     {
         return pass_reason::full;
     }
+    if (is_left_out_as_failing(now, envelope, route))
+    {
+        return pass_reason::failing;
+    }
     const double cold_rate = table_->cold_requests_per_s(server_.service);
     if (is_cold(now) && cold_rate > 0.0 && !cold_.take(now, cold_rate))
     {
@@ -273,8 +284,25 @@
     deliver(envelope, packet);
 }
 
+/** New flows go elsewhere while the backend server seems to fail them, but for trials, and but for
+    those for which there is no other room. */
+bool packet_agent::is_left_out_as_failing(time_point now, const packet_envelope& envelope,
+                                          const packet_route& route)
+{
+    const bool is_final = (envelope.flags & opening_flag_final) != 0;
+    return failures_.is_suspect() && !is_final &&
+           !failures_.take_trial(now, route.requests != request_class::non_idempotent);
+}
+
+/** By this the members compare where an opening waits when none has room. */
+std::uint32_t packet_agent::load_to_compare() const
+{
+    return load() + (failures_.is_suspect() ? load_of_failing : 0);
+}
+
 void packet_agent::find_room_elsewhere(time_point now, packet_envelope envelope,
-                                       const packet_route& route, const client_packet& packet)
+                                       const packet_route& route, const client_packet& packet,
+                                       pass_reason why)
 {
     if ((envelope.flags & opening_flag_final) != 0)
     {
@@ -285,13 +313,14 @@
         return;
     }
     const bool is_first = (envelope.flags & opening_best_bits) == 0;
-    if (is_first || load() < envelope.load)
+    if (is_first || load_to_compare() < envelope.load)
     {
-        envelope.load = static_cast<std::uint16_t>(std::min<std::uint32_t>(load(), UINT16_MAX));
+        envelope.load =
+            static_cast<std::uint16_t>(std::min<std::uint32_t>(load_to_compare(), UINT16_MAX));
         envelope.flags = static_cast<std::uint8_t>((envelope.flags & ~opening_best_bits) |
                                                    (envelope.position + 1U));
     }
-    pass_on(now, envelope, route, packet, pass_reason::full);
+    pass_on(now, envelope, route, packet, why);
 }
 
 bool packet_agent::queue_opening(time_point now, const packet_envelope& envelope,
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -2,6 +2,7 @@
 
 #include "carawayshelf_packets/cold_allowance.hpp"
 #include "carawayshelf_packets/early_packets.hpp"
+#include "carawayshelf_packets/failure_watch.hpp"
 #include "carawayshelf_packets/flow_inquiries.hpp"
 #include "carawayshelf_packets/load_board.hpp"
 #include "carawayshelf_packets/opening_age.hpp"
@@ -119,6 +120,7 @@
         endpoint balancer;
         time_point used;
         time_point busy_since;
+        time_point asked; ///< When the request was given to the server; none between requests.
     };
 
     /** A packet of a client in a buffer that may be written to. */
@@ -153,12 +155,15 @@
     pass_reason check_gate(time_point now, const packet_envelope& envelope,
                            const packet_route& route, const endpoint& address);
     bool has_room(const packet_envelope& envelope) const;
+    bool is_left_out_as_failing(time_point now, const packet_envelope& envelope,
+                                const packet_route& route);
+    std::uint32_t load_to_compare() const;
     bool is_settled(time_point now, const endpoint& address) const;
     bool is_cold(time_point now) const;
     bool is_server_known(time_point now) const;
     void accept(time_point now, const packet_envelope& envelope, const client_packet& packet);
     void find_room_elsewhere(time_point now, packet_envelope envelope, const packet_route& route,
-                             const client_packet& packet);
+                             const client_packet& packet, pass_reason why);
     bool queue_opening(time_point now, const packet_envelope& envelope, const packet_route& route,
                        const client_packet& packet);
     void admit_waiting(time_point now);
@@ -225,6 +230,7 @@
     std::uint32_t busy_ = 0;
     std::deque<std::pair<time_point, packet_flow>> answered_openings_; ///< Oldest first.
     service_meter meter_;
+    failure_watch failures_;
 
     bool has_server_ = false;
     server_announcement server_;
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace carawayshelf
 {
@@ -102,6 +103,7 @@
     {
         item.state = flow_state::open;
         start_request(now, item);
+        item.asked = item.asked == time_point() ? now : item.asked;
     }
     if (item.state == flow_state::open)
     {
@@ -316,7 +318,8 @@
     const bool is_bounded =
         is_cold(now) && (now < cold_until_ || table_->cold_requests_per_s(service()) > 0.0);
     told.flags = static_cast<std::uint8_t>((takes_new ? 0 : load_flag_closed) |
-                                           (is_bounded ? load_flag_cold : 0));
+                                           (is_bounded ? load_flag_cold : 0) |
+                                           (failures_.is_suspect() ? load_flag_failing : 0));
     return told;
 }
 
@@ -340,9 +343,14 @@
     }
     item.is_busy = false;
     --busy_;
+    const time_point asked = std::exchange(item.asked, time_point());
     if (was_answered)
     {
         meter_.note_answer(now, now - item.busy_since, item.found_free_slot, busy_, server_.slots);
+        if (asked != time_point())
+        {
+            failures_.note_answer(now - asked);
+        }
     }
 }
 
--- a/modules/carawayshelf_packets/packet_balancer.cpp
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -8,8 +8,10 @@
 namespace
 {
 
-/** Added for members that bear little or are likely not to answer; above any load. */
+/** Added for members that bear little, seem to fail what they get, or are likely not to answer;
+    above any load. */
 constexpr duration cold_cost = std::chrono::seconds(10);
+constexpr duration failing_cost = std::chrono::seconds(20);
 constexpr duration suspect_cost = std::chrono::seconds(100);
 
 load_board::report load_of(const packet_envelope& told)
@@ -20,6 +22,7 @@
     report.slots = told.slots;
     report.is_closed = (told.flags & load_flag_closed) != 0;
     report.is_cold = (told.flags & load_flag_cold) != 0;
+    report.is_failing = (told.flags & load_flag_failing) != 0;
     return report;
 }
 
@@ -224,6 +227,7 @@
         ranked.cost += ranked.is_near ? duration(0) : own_.placing.foreign_domain_cost;
         const bool is_cold = estimate.is_known ? estimate.is_cold : who.is_cold;
         ranked.cost += is_placing && is_cold ? cold_cost : duration(0);
+        ranked.cost += is_placing && estimate.is_failing ? failing_cost : duration(0);
         ranked.cost += is_suspect ? suspect_cost : duration(0);
         ranked_.push_back(ranked);
     }
--- a/modules/carawayshelf_packets/packet_counters.hpp
+++ b/modules/carawayshelf_packets/packet_counters.hpp
@@ -49,12 +49,13 @@
     not_settled, ///< Others may not have heard yet that it takes these flows.
     cold,
     full,
+    failing, ///< Its backend server seems to fail what it gets.
     not_here ///< The backend server returned it.
 };
 
-inline constexpr name_table<pass_reason, 9> pass_reason_names{
+inline constexpr name_table<pass_reason, 10> pass_reason_names{
     {"none", "wrong_service", "no_server", "draining", "domain_out", "not_settled", "cold", "full",
-     "not_here"}};
+     "failing", "not_here"}};
 
 /** Counters of a packet balancer or packet agent; any thread may read them. */
 struct packet_counters
--- a/modules/carawayshelf_wire/packet_envelope.hpp
+++ b/modules/carawayshelf_wire/packet_envelope.hpp
@@ -31,8 +31,9 @@
 constexpr std::size_t max_candidates = 16;
 
 /** Bits of packet_envelope::flags where an agent tells its load. */
-constexpr std::uint8_t load_flag_closed = 1; ///< Takes no new flow.
-constexpr std::uint8_t load_flag_cold = 2;   ///< Takes few new flows.
+constexpr std::uint8_t load_flag_closed = 1;  ///< Takes no new flow.
+constexpr std::uint8_t load_flag_cold = 2;    ///< Takes few new flows.
+constexpr std::uint8_t load_flag_failing = 4; ///< Its server seems to fail what it gets.
 
 /** Bits of packet_envelope::flags with an opening packet: the candidate that was least loaded, from
     1, or 0 while none could have taken it; that the packet has waited for a process's first table,
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -162,6 +162,17 @@
         core->take_server_packet(now, bytes.data(), bytes.size());
     }
 
+    /** The backend server takes a new flow. */
+    void answer_opening(std::uint16_t port_number)
+    {
+        test_packets::layout packet;
+        packet.head.source = address;
+        packet.head.destination = {client.address, port_number};
+        packet.head.is_opening = true;
+        std::string bytes = test_packets::encode(packet);
+        core->take_server_packet(now, bytes.data(), bytes.size());
+    }
+
     /** An agent that was asked doesn't hold a flow. */
     void answer_absent(std::uint16_t port_number, const endpoint& from, generation held = 0)
     {
@@ -679,6 +690,65 @@
     BOOST_TEST((meter.time() == before));
 }
 
+/** A server that fails what it gets at once looks idle; it must not draw the new flows. */
+BOOST_AUTO_TEST_CASE(a_server_that_fails_what_it_gets_gets_trials_instead_of_new_flows)
+{
+    agent_bench bench;
+    bench.start();
+    bench.now += packet_agent::settle_time;
+    bench.announce();
+    std::uint16_t next = 1000;
+    const auto open = [&bench, &next]
+    {
+        bench.send(bench.packet_of(++next, true), {own_data, other_data});
+    };
+    const auto serve = [&bench, &next, &open](duration takes)
+    {
+        open();
+        bench.answer_opening(next);
+        bench.send(bench.packet_of(next, false), {own_data});
+        bench.now += takes;
+        bench.answer(next);
+    };
+    for (int i = 0; i < 30; ++i)
+    {
+        serve(std::chrono::milliseconds(20));
+    }
+    BOOST_TEST(bench.counters.placed == 30U);
+    for (int i = 0; i < 30; ++i)
+    {
+        serve(std::chrono::milliseconds(1));
+    }
+    // It is found out after ten at most; each 500 ms one more is a trial.
+    BOOST_TEST(bench.counters.placed <= 41U);
+    BOOST_TEST(bench.counters.passes.get(pass_reason::failing) >= 19U);
+    bench.envelopes.clear();
+    open();
+    bool is_told = false;
+    for (const sent_envelope& sent : bench.envelopes)
+    {
+        is_told =
+            is_told || (sent.to == balancer_data && (sent.envelope.flags & load_flag_failing) != 0);
+    }
+    BOOST_TEST(is_told);
+    // Where there is no other room it still serves.
+    const std::uint64_t placed = bench.counters.placed;
+    bench.open(++next, opening_flag_final | 1U);
+    BOOST_TEST(bench.counters.placed == placed + 1);
+    // Trials that are answered as usual bring it back.
+    for (int i = 0; i < 30; ++i)
+    {
+        bench.now += failure_watch::trial_interval;
+        bench.announce();
+        serve(std::chrono::milliseconds(20));
+    }
+    bench.core->tick(bench.now); // The request that got no answer takes no slot any more.
+    const std::uint64_t before = bench.counters.placed;
+    open();
+    open();
+    BOOST_TEST(bench.counters.placed == before + 2);
+}
+
 BOOST_AUTO_TEST_CASE(openings_that_can_be_in_time_go_before_late_ones_and_urgent_ones_first)
 {
     opening_queue queue;
--- a/tests/unit/packet_balancer_test.cpp
+++ b/tests/unit/packet_balancer_test.cpp
@@ -279,6 +279,33 @@
         (board.estimate(now, agent_at(1)).expected > board.estimate(now, agent_at(2)).expected));
 }
 
+BOOST_AUTO_TEST_CASE(an_agent_whose_server_seems_to_fail_gets_new_flows_last)
+{
+    balancer_bench bench;
+    bench.put_table(4);
+    packet_envelope told;
+    told.kind = packet_envelope_kind::load;
+    told.slots = 2;
+    told.service_time = std::chrono::milliseconds(1);
+    told.flags = load_flag_failing;
+    for (std::uint16_t i = 0; i < 100; ++i)
+    {
+        bench.core->take_envelope(bench.now, told, agent_at(1));
+        bench.answer(agent_at(2));
+        bench.answer(agent_at(3));
+        bench.answer(agent_at(4));
+        bench.send(i);
+    }
+    BOOST_TEST(bench.sent[agent_at(1)] == 0U);
+    // What was told a second ago may be over.
+    bench.now += std::chrono::milliseconds(1100);
+    for (std::uint16_t i = 100; i < 200; ++i)
+    {
+        bench.send(i);
+    }
+    BOOST_TEST(bench.sent[agent_at(1)] > 0U);
+}
+
 /** What a balancer sends and what its agents send it must not grow with the number of agents, nor
     with its table's generations. */
 BOOST_AUTO_TEST_CASE(an_idle_balancer_sends_nothing_however_many_agents_and_tables_there_are)
