--- a/modules/carawayshelf_wire/frame_codec.cpp
+++ b/modules/carawayshelf_wire/frame_codec.cpp
@@ -101,7 +101,7 @@
 
 failure decode_frame(std::string_view bytes, frame& value)
 {
-    const failure malformed =
+    failure malformed =
         make_failure(error_kind::malformed_frame,
                      "a frame of " + std::to_string(bytes.size()) + " bytes is malformed");
     const buffers::frame* packed = verify_buffer<buffers::frame>(bytes);
