--- a/modules/carawayshelf_packets/failure_watch.hpp
+++ b/modules/carawayshelf_packets/failure_watch.hpp
@@ -6,11 +6,11 @@
 {
 
 /** Finds out by the time of its answers that a backend server fails what it gets: it answers most
-    requests many times faster than it used to. Its contents are nobody's business but the ends', and
-    its health answers can be false. Answers servers that fail fast and so look idle and draw more
-    than the others: while one is suspect it gets a trial now and then instead of new flows. A server
-    whose requests have become short for good counts as usual again after some hundred answers. Not
-    thread-safe. */
+    requests many times faster than it used to. Its contents are nobody's business but the ends',
+    and its health answers can be false. Answers servers that fail fast and so look idle and draw
+    more than the others: while one is suspect it gets a trial now and then instead of new flows. A
+    server whose requests have become short for good counts as usual again after some hundred
+    answers. Not thread-safe. */
 class failure_watch
 {
 public:
--- a/tests/unit/failure_watch_test.cpp
+++ b/tests/unit/failure_watch_test.cpp
@@ -1,5 +1,5 @@
 /** @file
-    How a backend server that fails what it gets is found by the time of its answers, and tried again.
+    How a backend server that fails what it gets is found by its answers' time, and tried again.
 */
 #include "carawayshelf_packets/failure_watch.hpp"
 
