Flows of members that control marks silent get an outcome

Cause: an inquiry had no outcome while a member that control marks silent left it unanswered, for the 75 s that such a member is kept. Servers that leave while all power is gone can't say so, and their clients waited for their own deadlines. Each packet sent again set off another inquiry at all members.

Change: a member that control has not heard of for a lease and that leaves the inquiry unanswered for 300 ms too counts as lost once all others have answered and the own table is fresh. A balancer gives up a remembered agent that neither control nor it itself hears of; one that only control lost sight of keeps its flows.

Against the rule on flows: a member that is marked and doesn't answer runs on a machine that was not in touch for a lease; a planned restart takes less than one. Ruled out: going by the mark alone (an agent cut off from control only serves on, test a_remembered_agent_is_given_up_once_nobody_hears_of_it).

--- a/modules/carawayshelf_packets/flow_inquiries.cpp
+++ b/modules/carawayshelf_packets/flow_inquiries.cpp
@@ -7,24 +7,38 @@
 
 /** Has the members asked that changed after the table by which the others were, all of them in a
    new inquiry. Returns them. */
-std::vector<endpoint> flow_inquiries::add_outstanding(const packet_table& table,
+std::vector<endpoint> flow_inquiries::add_outstanding(time_point now, const packet_table& table,
                                                       const packet_route& route,
                                                       const endpoint& own, inquiry& item)
 {
-    std::set<endpoint> asked;
+    std::vector<endpoint> asked;
     for (const std::uint32_t service : route.services)
     {
         for (const packet_member& who : table.members_of(service))
         {
-            if (who.data != own && who.changed_at > item.asked_by)
+            if (who.data == own || who.changed_at <= item.asked_by)
             {
-                asked.insert(who.data);
+                continue;
             }
+            asked.push_back(who.data);
+            item.silent.erase(who.data);
+            item.outstanding.erase(who.data);
         }
     }
+    std::sort(asked.begin(), asked.end());
+    asked.erase(std::unique(asked.begin(), asked.end()), asked.end());
+    for (const endpoint& agent : asked)
+    {
+        if (table.is_silent(agent))
+        {
+            item.silent.insert(agent);
+            item.silent_asked = now;
+            continue;
+        }
+        item.outstanding.insert(agent);
+    }
     item.asked_by = table.held();
-    item.outstanding.insert(asked.begin(), asked.end());
-    return {asked.begin(), asked.end()};
+    return asked;
 }
 
 std::vector<endpoint> flow_inquiries::start(time_point now, const packet_table& table,
@@ -37,7 +51,7 @@
     added.packet = std::string(packet);
     added.began = now;
     added.needed = envelope.held;
-    return add_outstanding(table, route, own, added);
+    return add_outstanding(now, table, route, own, added);
 }
 
 bool flow_inquiries::take_absent(const packet_flow& flow, const endpoint& member, generation held)
@@ -48,12 +62,13 @@
         return false;
     }
     found->second.outstanding.erase(member);
+    found->second.silent.erase(member);
     found->second.needed = std::max(found->second.needed, held);
-    return is_concluded(found->second);
+    return has_answers(found->second);
 }
 
-std::vector<flow_inquiries::question> flow_inquiries::take_table(const packet_table& table,
-                                                                 const endpoint& own)
+std::vector<flow_inquiries::question>
+flow_inquiries::take_table(time_point now, const packet_table& table, const endpoint& own)
 {
     std::vector<question> questions;
     for (auto& [flow, item] : inquiries_)
@@ -63,7 +78,7 @@
         {
             continue; // A route that is gone is refused when the packet comes again.
         }
-        std::vector<endpoint> members = add_outstanding(table, *route, own, item);
+        std::vector<endpoint> members = add_outstanding(now, table, *route, own, item);
         if (!members.empty())
         {
             questions.push_back({item.envelope, item.packet, std::move(members)});
@@ -89,9 +104,14 @@
     return taken;
 }
 
-std::vector<flow_inquiries::inquiry> flow_inquiries::take_concluded()
+std::vector<flow_inquiries::inquiry> flow_inquiries::take_concluded(time_point now)
 {
-    return take_if([](const inquiry& item) { return is_concluded(item); });
+    return take_if(
+        [now](const inquiry& item)
+        {
+            const bool waits = item.has_silent() && now - item.silent_asked < silent_answer_due;
+            return has_answers(item) && !waits;
+        });
 }
 
 std::vector<flow_inquiries::inquiry> flow_inquiries::take_expired(time_point now)
--- a/modules/carawayshelf_packets/flow_inquiries.hpp
+++ b/modules/carawayshelf_packets/flow_inquiries.hpp
@@ -17,14 +17,20 @@
 /** Flows that an agent looks for at all members of their route's services at once, after the likely
     ones have returned a packet. Each that doesn't hold the flow says so; once all have, and nobody
     on the way held a newer table than the one that they were asked by, nobody holds it. However
-    many members there are, the answer takes one way there and back. Where a member doesn't answer
-    there is no outcome. Not thread-safe; no I/O. */
+    many members there are, the answer takes one way there and back. A member of which control has
+    not heard for a lease and that doesn't answer the question itself either is taken for lost with
+    its server; where any other member doesn't answer there is no outcome. Answers flows of servers
+    that left while nobody could note it. Not thread-safe; no I/O. */
 class flow_inquiries
 {
 public:
     /** After this the packet is dropped; its client has sent it again by then. */
     static constexpr duration lasts = std::chrono::seconds(1);
 
+    /** Control's mark and this long without an answer make a member lost: several times the way
+        there and back, over a link with packets waiting. */
+    static constexpr duration silent_answer_due = std::chrono::milliseconds(300);
+
     /** Flows that are looked for at the same time, at most. */
     static constexpr std::size_t most = 512;
 
@@ -34,9 +40,17 @@
         packet_envelope envelope;
         std::string packet;
         time_point began;
-        generation asked_by = 0; ///< Table by which the members were asked.
-        generation needed = 0;   ///< Newest table of anybody on the way.
-        std::set<endpoint> outstanding;
+        generation asked_by = 0;        ///< Table by which the members were asked.
+        generation needed = 0;          ///< Newest table of anybody on the way.
+        std::set<endpoint> outstanding; ///< Without those that are marked silent.
+        std::set<endpoint> silent;      ///< Marked so by control, and without an answer yet.
+        time_point silent_asked;        ///< The last question to one of them.
+
+        /** Whether members that control marks silent have not answered. */
+        bool has_silent() const
+        {
+            return !silent.empty();
+        }
     };
 
     /** A packet to send to members. */
@@ -70,7 +84,7 @@
         return inquiries_.size();
     }
 
-    /** A member doesn't hold the flow. Returns whether that concludes the inquiry.
+    /** A member doesn't hold the flow. Returns whether that may conclude the inquiry.
         @param held  the table that it goes by */
     bool take_absent(const packet_flow& flow, const endpoint& member, generation held);
 
@@ -81,22 +95,24 @@
     }
 
     /** A newer table is in force. Returns what to ask members that changed since. */
-    std::vector<question> take_table(const packet_table& table, const endpoint& own);
+    std::vector<question> take_table(time_point now, const packet_table& table,
+                                     const endpoint& own);
 
     /** Takes out those flows that nobody holds, as far as the table by which they were asked tells.
      */
-    std::vector<inquiry> take_concluded();
+    std::vector<inquiry> take_concluded(time_point now);
 
     /** Takes out those that have lasted too long. */
     std::vector<inquiry> take_expired(time_point now);
 
 private:
-    static bool is_concluded(const inquiry& item)
+    /** Whether all that are not marked silent have answered, by a table that is new enough. */
+    static bool has_answers(const inquiry& item)
     {
         return item.outstanding.empty() && item.needed <= item.asked_by;
     }
 
-    static std::vector<endpoint> add_outstanding(const packet_table& table,
+    static std::vector<endpoint> add_outstanding(time_point now, const packet_table& table,
                                                  const packet_route& route, const endpoint& own,
                                                  inquiry& item);
 
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -44,7 +44,7 @@
     }
     admit_waiting(now);
     release_early(now);
-    ask_changed_members();
+    ask_changed_members(now);
     conclude_inquiries(now);
 }
 
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -201,7 +201,7 @@
                  const client_packet& packet);
     void ask(const packet_envelope& envelope, const std::vector<endpoint>& members,
              std::string_view packet);
-    void ask_changed_members();
+    void ask_changed_members(time_point now);
     void conclude_inquiries(time_point now);
     void drop_expired_inquiries(time_point now);
     void take_inquiry_answer(time_point now, const packet_envelope& answer);
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -379,6 +379,7 @@
     forget_old_flows(now);
     release_unanswered(now);
     admit_waiting(now);
+    conclude_inquiries(now);
     drop_expired_inquiries(now);
 }
 
--- a/modules/carawayshelf_packets/packet_agent_inquiries.cpp
+++ b/modules/carawayshelf_packets/packet_agent_inquiries.cpp
@@ -41,10 +41,10 @@
     }
 }
 
-void packet_agent::ask_changed_members()
+void packet_agent::ask_changed_members(time_point now)
 {
     const std::vector<flow_inquiries::question> questions =
-        inquiries_.take_table(*table_, own_.data);
+        inquiries_.take_table(now, *table_, own_.data);
     for (const flow_inquiries::question& question : questions)
     {
         ask(question.envelope, question.members, question.packet);
@@ -55,20 +55,21 @@
     }
 }
 
-/** Resets the flows that nobody holds. That needs a table that control confirmed a moment ago, so
-    inquiries that end before wait for that. */
+/** Resets the flows that nobody holds, as far as those that answer tell. That needs a table that
+    control confirmed a moment ago, so inquiries that end before wait for that. */
 void packet_agent::conclude_inquiries(time_point now)
 {
     if (inquiries_.size() == 0 || !is_table_fresh(now))
     {
         return;
     }
-    for (const flow_inquiries::inquiry& ended : inquiries_.take_concluded())
+    for (const flow_inquiries::inquiry& ended : inquiries_.take_concluded(now))
     {
         packet_head head;
         if (format_.decode(ended.packet, head) && !head.is_reset)
         {
-            note_reset(packet_reset::nowhere, ended.envelope, head);
+            note_reset(ended.has_silent() ? packet_reset::lost_member : packet_reset::nowhere,
+                       ended.envelope, head);
         }
     }
 }
--- a/modules/carawayshelf_packets/packet_balancer.cpp
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -161,12 +161,27 @@
     }
 }
 
+/** Whether neither control nor this balancer hears of an agent. One that only control doesn't hear
+    of may still serve its flows. */
+bool packet_balancer::is_lost(time_point now, const packet_table& table, const endpoint& agent)
+{
+    if (!table.is_silent(agent))
+    {
+        return false;
+    }
+    if (probes_left_ != 0 && loads_.wants_probe(now, agent))
+    {
+        probe(table, agent);
+    }
+    return loads_.estimate(now, agent).is_suspect;
+}
+
 void packet_balancer::search(time_point now, const packet_table& table, const packet_route& route,
                              packet_envelope& envelope)
 {
     const std::uint64_t flow_hash = hash_flow(envelope.flow);
     const endpoint known = cache_.find(flow_hash, now);
-    if (table.has_agent(known))
+    if (table.has_agent(known) && !is_lost(now, table, known))
     {
         envelope.add_candidate(known);
         return;
--- a/modules/carawayshelf_packets/packet_balancer.hpp
+++ b/modules/carawayshelf_packets/packet_balancer.hpp
@@ -74,6 +74,7 @@
               const packet_head& head);
     void place(time_point now, const packet_table& table, const packet_route& route,
                const packet_head& head, packet_envelope& envelope);
+    bool is_lost(time_point now, const packet_table& table, const endpoint& agent);
     void search(time_point now, const packet_table& table, const packet_route& route,
                 packet_envelope& envelope);
     void probe_candidates(time_point now, const packet_table& table,
--- a/modules/carawayshelf_packets/packet_counters.hpp
+++ b/modules/carawayshelf_packets/packet_counters.hpp
@@ -32,11 +32,13 @@
 enum class packet_reset
 {
     no_route,
-    refused, ///< No member could take the new flow.
-    nowhere  ///< Every member has returned it.
+    refused,    ///< No member could take the new flow.
+    nowhere,    ///< Every member has returned it.
+    lost_member ///< So have all but those that control marks silent and that don't answer.
 };
 
-inline constexpr name_table<packet_reset, 3> packet_reset_names{{"no_route", "refused", "nowhere"}};
+inline constexpr name_table<packet_reset, 4> packet_reset_names{
+    {"no_route", "refused", "nowhere", "lost_member"}};
 
 /** Why an agent passed a packet on to the next candidate. */
 enum class pass_reason
--- a/modules/carawayshelf_packets/packet_table.cpp
+++ b/modules/carawayshelf_packets/packet_table.cpp
@@ -21,6 +21,34 @@
     return made;
 }
 
+/** Makes a set count the agents of a service's present members instead of those of its earlier
+    ones, as far as a condition picks them. */
+template <typename Predicate>
+void replace_agents(agent_set& agents, const std::vector<packet_member>& before,
+                    const std::vector<packet_member>& after, const Predicate& picks)
+{
+    std::unordered_map<endpoint, int> change;
+    for (const packet_member& who : before)
+    {
+        change[who.data] -= picks(who) ? 1 : 0;
+    }
+    for (const packet_member& who : after)
+    {
+        change[who.data] += picks(who) ? 1 : 0;
+    }
+    for (const auto& [agent, difference] : change)
+    {
+        for (int i = difference; i < 0; ++i)
+        {
+            agents.remove(agent);
+        }
+        for (int i = 0; i < difference; ++i)
+        {
+            agents.add(agent);
+        }
+    }
+}
+
 } // namespace
 
 packet_table::packet_table(const subscriber_table& from, const packet_table& before)
@@ -113,26 +141,9 @@
         }
     }
     std::shared_ptr<const member_list>& held = members_[index_of(service)];
-    std::unordered_map<endpoint, int> change;
-    for (const packet_member& who : *held)
-    {
-        --change[who.data];
-    }
-    for (const packet_member& who : *made)
-    {
-        ++change[who.data];
-    }
-    for (const auto& [agent, difference] : change)
-    {
-        for (int i = difference; i < 0; ++i)
-        {
-            agents_.remove(agent);
-        }
-        for (int i = 0; i < difference; ++i)
-        {
-            agents_.add(agent);
-        }
-    }
+    replace_agents(agents_, *held, *made, [](const packet_member&) { return true; });
+    replace_agents(heard_agents_, *held, *made,
+                   [](const packet_member& who) { return !who.is_silent; });
     held = made;
 }
 
--- a/modules/carawayshelf_packets/packet_table.hpp
+++ b/modules/carawayshelf_packets/packet_table.hpp
@@ -82,6 +82,12 @@
         return agents_.contains(agent);
     }
 
+    /** Whether control marks all members that an agent has here as silent. */
+    bool is_silent(const endpoint& agent) const
+    {
+        return agents_.contains(agent) && !heard_agents_.contains(agent);
+    }
+
     /** The member of a service that an agent has, or nullptr. */
     const packet_member* find_member(const std::string& service, const endpoint& agent) const;
 
@@ -138,6 +144,7 @@
     generation held_ = 0;
     std::shared_ptr<const route_set> routes_ = std::make_shared<const route_set>();
     agent_set agents_;
+    agent_set heard_agents_; ///< With a member that control doesn't mark silent.
     std::vector<std::shared_ptr<const member_list>> members_; ///< By the services' numbers.
     std::shared_ptr<const service_numbers> numbers_ = std::make_shared<const service_numbers>();
     std::set<std::string> domains_out_;
--- a/tests/unit/flow_inquiries_test.cpp
+++ b/tests/unit/flow_inquiries_test.cpp
@@ -111,29 +111,106 @@
     // No outcome before the last one has answered.
     for (const endpoint& member : asked)
     {
-        BOOST_TEST(bench.inquiries.take_concluded().empty());
+        BOOST_TEST(bench.inquiries.take_concluded(start).empty());
         bench.inquiries.take_absent(flow, member, known.held());
     }
-    BOOST_TEST(bench.inquiries.take_concluded().size() == 1U);
+    BOOST_TEST(bench.inquiries.take_concluded(start).size() == 1U);
     BOOST_TEST(bench.inquiries.size() == 0U);
 }
 
-BOOST_AUTO_TEST_CASE(nobody_waits_for_silent_members_and_without_them_there_is_no_outcome)
+BOOST_AUTO_TEST_CASE(without_the_answer_of_a_member_that_is_not_marked_silent_there_is_no_outcome)
 {
     inquiry_bench bench(30);
-    bench.set_state(4, member_state::silent);
     const packet_table known = bench.table();
     std::vector<endpoint> asked = bench.begin(known);
     BOOST_TEST(asked.size() == 29U);
     asked.erase(std::find(asked.begin(), asked.end(), agent_at(4)));
     bench.answer(asked, known.held());
-    BOOST_TEST(bench.inquiries.take_concluded().empty());
     const time_point end = start + flow_inquiries::lasts;
+    BOOST_TEST(bench.inquiries.take_concluded(end - duration(1)).empty());
     BOOST_TEST(bench.inquiries.take_expired(end - duration(1)).empty());
     BOOST_TEST(bench.inquiries.take_expired(end).size() == 1U);
     BOOST_TEST(bench.inquiries.size() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_member_that_is_marked_silent_and_does_not_answer_is_waited_for_briefly)
+{
+    inquiry_bench bench(30);
+    bench.set_state(4, member_state::silent);
+    const packet_table known = bench.table();
+    std::vector<endpoint> asked = bench.begin(known);
+    BOOST_TEST(asked.size() == 29U);
+    asked.erase(std::find(asked.begin(), asked.end(), agent_at(4)));
+    bench.answer(asked, known.held());
+    const time_point due = start + flow_inquiries::silent_answer_due;
+    BOOST_TEST(bench.inquiries.take_concluded(due - duration(1)).empty());
+    const std::vector<flow_inquiries::inquiry> concluded = bench.inquiries.take_concluded(due);
+    BOOST_REQUIRE_EQUAL(concluded.size(), 1U);
+    BOOST_TEST(concluded.front().has_silent());
+    BOOST_TEST(bench.inquiries.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_member_that_answers_is_not_waited_for)
+{
+    inquiry_bench bench(30);
+    bench.set_state(4, member_state::silent);
+    const packet_table known = bench.table();
+    bench.answer(bench.begin(known), known.held());
+    const std::vector<flow_inquiries::inquiry> concluded = bench.inquiries.take_concluded(start);
+    BOOST_REQUIRE_EQUAL(concluded.size(), 1U);
+    BOOST_TEST(!concluded.front().has_silent());
+}
+
+BOOST_AUTO_TEST_CASE(a_member_that_is_marked_silent_while_it_is_asked_gets_its_time_anew)
+{
+    inquiry_bench bench(30);
+    const packet_table older = bench.table();
+    std::vector<endpoint> asked = bench.begin(older);
+    asked.erase(std::find(asked.begin(), asked.end(), agent_at(4)));
+    bench.answer(asked, older.held());
+    bench.set_state(4, member_state::silent);
+    const packet_table newer = bench.table();
+    const time_point marked = start + std::chrono::milliseconds(500);
+    const std::vector<flow_inquiries::question> questions =
+        bench.inquiries.take_table(marked, newer, agent_at(1));
+    BOOST_REQUIRE_EQUAL(questions.size(), 1U);
+    BOOST_TEST((questions.front().members == std::vector<endpoint>{agent_at(4)}));
+    const time_point due = marked + flow_inquiries::silent_answer_due;
+    BOOST_TEST(bench.inquiries.take_concluded(due - duration(1)).empty());
+    BOOST_TEST(bench.inquiries.take_concluded(due).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_member_that_control_hears_of_again_must_answer)
+{
+    inquiry_bench bench(30);
+    bench.set_state(4, member_state::silent);
+    const packet_table older = bench.table();
+    std::vector<endpoint> asked = bench.begin(older);
+    asked.erase(std::find(asked.begin(), asked.end(), agent_at(4)));
+    bench.answer(asked, older.held());
+    bench.set_state(4, member_state::warm);
+    const packet_table newer = bench.table();
+    bench.inquiries.take_table(start, newer, agent_at(1));
+    const time_point end = start + flow_inquiries::lasts;
+    BOOST_TEST(bench.inquiries.take_concluded(end - duration(1)).empty());
+    bench.answer({agent_at(4)}, newer.held());
+    BOOST_TEST(bench.inquiries.take_concluded(start).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(silent_members_alone_conclude_nothing_while_others_have_not_answered)
+{
+    inquiry_bench bench(30);
+    bench.set_state(4, member_state::silent);
+    const packet_table known = bench.table();
+    std::vector<endpoint> asked = bench.begin(known);
+    asked.erase(std::find(asked.begin(), asked.end(), agent_at(4)));
+    asked.pop_back();
+    bench.answer(asked, known.held());
+    const time_point end = start + flow_inquiries::lasts;
+    BOOST_TEST(bench.inquiries.take_concluded(end - duration(1)).empty());
+    BOOST_TEST(bench.inquiries.take_expired(end).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_member_that_the_asker_did_not_know_is_asked_before_there_is_an_outcome)
 {
     inquiry_bench bench(30);
@@ -142,15 +219,15 @@
     bench.add_member(31);
     const packet_table newer = bench.table();
     bench.answer(asked, newer.held()); // They know it already.
-    BOOST_TEST(bench.inquiries.take_concluded().empty());
+    BOOST_TEST(bench.inquiries.take_concluded(start).empty());
     const std::vector<flow_inquiries::question> questions =
-        bench.inquiries.take_table(newer, agent_at(1));
+        bench.inquiries.take_table(start, newer, agent_at(1));
     BOOST_REQUIRE_EQUAL(questions.size(), 1U);
     BOOST_TEST((questions.front().members == std::vector<endpoint>{agent_at(31)}));
     BOOST_TEST(questions.front().packet == "packet");
-    BOOST_TEST(bench.inquiries.take_concluded().empty());
+    BOOST_TEST(bench.inquiries.take_concluded(start).empty());
     bench.answer({agent_at(31)}, newer.held());
-    BOOST_TEST(bench.inquiries.take_concluded().size() == 1U);
+    BOOST_TEST(bench.inquiries.take_concluded(start).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(a_member_that_changed_meanwhile_is_asked_again)
@@ -162,10 +239,10 @@
     bench.set_state(9, member_state::warm);
     const packet_table newer = bench.table();
     const std::vector<flow_inquiries::question> questions =
-        bench.inquiries.take_table(newer, agent_at(1));
+        bench.inquiries.take_table(start, newer, agent_at(1));
     BOOST_REQUIRE_EQUAL(questions.size(), 1U);
     BOOST_TEST((questions.front().members == std::vector<endpoint>{agent_at(9)}));
-    BOOST_TEST(bench.inquiries.take_concluded().empty());
+    BOOST_TEST(bench.inquiries.take_concluded(start).empty());
 }
 
 BOOST_AUTO_TEST_CASE(a_packet_that_met_a_newer_table_waits_for_it)
@@ -174,14 +251,15 @@
     const packet_table older = bench.table();
     const std::vector<endpoint> asked = bench.begin(older, older.held() + 1);
     bench.answer(asked, older.held());
-    BOOST_TEST(bench.inquiries.take_concluded().empty());
+    BOOST_TEST(bench.inquiries.take_concluded(start).empty());
     bench.add_member(3); // Anew, under another epoch.
     const packet_table newer = bench.table();
-    for (const flow_inquiries::question& question : bench.inquiries.take_table(newer, agent_at(1)))
+    for (const flow_inquiries::question& question :
+         bench.inquiries.take_table(start, newer, agent_at(1)))
     {
         bench.answer(question.members, newer.held());
     }
-    BOOST_TEST(bench.inquiries.take_concluded().size() == 1U);
+    BOOST_TEST(bench.inquiries.take_concluded(start).size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(a_flow_that_is_found_has_no_outcome)
@@ -194,7 +272,7 @@
     bench.inquiries.take_holder(flow);
     BOOST_TEST(!bench.inquiries.contains(flow));
     bench.answer(asked, known.held());
-    BOOST_TEST(bench.inquiries.take_concluded().empty());
+    BOOST_TEST(bench.inquiries.take_concluded(start).empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/packet_balancer_test.cpp
+++ b/tests/unit/packet_balancer_test.cpp
@@ -64,7 +64,6 @@
         route.target_latency_ms = 100;
         route.shares = {{"ordering", 1}};
         configuration.routes = {route};
-        generation made = 0;
         state.apply(++made, replace_configuration{configuration});
         for (std::uint32_t i = 1; i <= agents; ++i)
         {
@@ -76,11 +75,22 @@
             edit.epoch = ++made;
             edit.protocol = flow_protocol::packets;
             edit.state = member_state::warm;
-            state.apply(++made, edit);
+            ids[agent_at(i)] = state.apply(++made, edit).member;
         }
+        publish();
+    }
+
+    void set_state(const endpoint& agent, member_state wanted)
+    {
+        state.apply(++made, set_member_state{ids.at(agent), wanted});
+        publish();
+    }
+
+    void publish()
+    {
         subscriber_table held;
         held.apply(state.collect_update(0, ""));
-        table = packet_table(held, packet_table());
+        table = packet_table(held, table);
     }
 
     void send(std::uint16_t client_port, bool is_opening = true)
@@ -119,6 +129,8 @@
     packet_counters counters;
     quiet_observer observer;
     cluster_state state;
+    generation made = 0;
+    std::map<endpoint, member_id> ids;
     packet_table table;
     std::unique_ptr<packet_balancer> core;
     std::map<endpoint, std::uint64_t> sent;
@@ -359,6 +371,36 @@
     BOOST_TEST(bench.last.candidate_count == 12U);
 }
 
+BOOST_AUTO_TEST_CASE(a_remembered_agent_is_given_up_once_nobody_hears_of_it)
+{
+    balancer_bench bench;
+    bench.put_table(30);
+    bench.send(2000);
+    const endpoint remembered = bench.sent.begin()->first;
+    bench.answer(remembered);
+    bench.now += load_board::heard_lately;
+    // Control may have lost sight of it while it still serves its flows.
+    bench.set_state(remembered, member_state::silent);
+    bench.send(2000, false);
+    BOOST_TEST(bench.last.candidate_count == 1U);
+    BOOST_TEST((bench.probed == std::vector<endpoint>{remembered}));
+    bench.answer(remembered);
+    bench.now += load_board::answer_due + std::chrono::milliseconds(1);
+    bench.send(2000, false);
+    BOOST_TEST(bench.last.candidate_count == 1U);
+    // It doesn't answer the balancer either.
+    bench.now += load_board::heard_lately;
+    bench.send(2000, false);
+    bench.now += load_board::answer_due + std::chrono::milliseconds(1);
+    bench.send(2000, false);
+    BOOST_TEST(bench.last.candidate_count == 12U);
+    BOOST_TEST(!bench.last.has_candidate(remembered));
+    // Control hears of it again: what it holds is sent there, whatever the balancer has heard.
+    bench.set_state(remembered, member_state::warm);
+    bench.send(2000, false);
+    BOOST_TEST(bench.last.candidate_count == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_flow_is_placed_where_it_is_looked_for_first)
 {
     balancer_bench bench;
