Daemons leave a control instance that hears no leader, and try none twice in a round

A daemon there notices after 1.5 s, and where its next instance is the other one that is cut off it stays 1.5 s more, also a third time: the list that an instance gives put the configured order in place of the daemon's own one, so that a daemon could come back to the instance it had left. Ruled out: the outcome of flows of silent members (balancer and agent went by an old route, not by a flow); gathered updates (the instances in touch had sent the version within 0.1 s).

Change: an instance says with the answer to a subscription whether it hears a leader, and a daemon leaves one that doesn't within 60 ms, then 120 ms and so on up to 1.5 s (instance_patience, until now only for daemons without a table). instance_rotation: each daemon's own order; none is tried again before all others were.

--- a/modules/carawayshelf_io/control_client.cpp
+++ b/modules/carawayshelf_io/control_client.cpp
@@ -3,7 +3,6 @@
 #include "carawayshelf_io/json_log.hpp"
 #include "carawayshelf_io/steady_time.hpp"
 
-#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -29,12 +28,9 @@
 
 control_client::control_client(boost::asio::io_context& io, std::vector<endpoint> instances,
                                report_source report, update_handler on_update)
-    : io_(io), instances_(std::move(instances)), configured_(instances_),
-      report_(std::move(report)), on_update_(std::move(on_update)), retry_timer_(io),
-      heartbeat_timer_(io), patience_timer_(io)
+    : io_(io), instances_(std::move(instances), std::random_device{}()), report_(std::move(report)),
+      on_update_(std::move(on_update)), retry_timer_(io), heartbeat_timer_(io), patience_timer_(io)
 {
-    // Daemons start at different instances, so that each instance carries its share of them.
-    std::shuffle(instances_.begin(), instances_.end(), std::mt19937(std::random_device{}()));
 }
 
 void control_client::start()
@@ -55,7 +51,7 @@
 
 void control_client::connect()
 {
-    const endpoint address = instances_[next_++ % instances_.size()];
+    const endpoint address = instances_.next();
     const std::shared_ptr<boost::asio::ip::tcp::socket> socket =
         std::make_shared<boost::asio::ip::tcp::socket>(io_);
     connecting_ = socket;
@@ -109,41 +105,37 @@
                            lose_connection();
                        });
     subscribe();
-    watch_for_table();
+    watch_for_leader();
 }
 
-void control_client::watch_for_table()
+void control_client::watch_for_leader()
 {
-    if (taken_ != 0)
-    {
-        return;
-    }
     patience_timer_.expires_after(patience_.limit());
     patience_timer_.async_wait(
         [this](const boost::system::error_code& error)
         {
             if (!error)
             {
-                leave_if_without_table();
+                leave_if_out_of_touch();
             }
         });
 }
 
-void control_client::leave_if_without_table()
+void control_client::leave_if_out_of_touch()
 {
-    if (!is_connected() || taken_ != 0 || is_in_touch_)
+    if (!is_connected() || is_in_touch_)
     {
         return;
     }
     if (connection_->is_receiving())
     {
-        watch_for_table(); // On a thin link a table takes its time.
+        watch_for_leader(); // On a thin link a table takes its time.
         return;
     }
     patience_.note_tried();
     const std::shared_ptr<frame_connection> left = connection_;
     left->close(make_failure(error_kind::no_leader,
-                             "the control instance hears no leader and has no table to give; "
+                             "the control instance has not said that it hears a leader; "
                              "trying the next one"));
     connect();
 }
@@ -179,6 +171,7 @@
     {
         confirmed_ = steady_now();
         is_in_touch_ = true;
+        patience_.note_in_touch();
         if (on_confirmed_)
         {
             on_confirmed_();
@@ -190,7 +183,6 @@
         if (const std::optional<table_update> update = unpack_update(*received.update))
         {
             taken_ = std::max(taken_, update->held);
-            patience_.note_table();
             on_update_(*update);
         }
     }
@@ -218,16 +210,12 @@
 
 void control_client::learn_instances(const std::vector<std::uint64_t>& instances)
 {
-    std::vector<endpoint> known = configured_;
+    std::vector<endpoint> known;
     for (const std::uint64_t packed : instances)
     {
-        const endpoint address = unpack_endpoint(packed);
-        if (!address.is_none() && std::find(known.begin(), known.end(), address) == known.end())
-        {
-            known.push_back(address);
-        }
+        known.push_back(unpack_endpoint(packed));
     }
-    instances_ = std::move(known);
+    instances_.learn(known);
 }
 
 void control_client::drop_if_silent()
--- a/modules/carawayshelf_io/control_client.hpp
+++ b/modules/carawayshelf_io/control_client.hpp
@@ -4,7 +4,8 @@
 #include "carawayshelf_core/clock_time.hpp"
 #include "carawayshelf_io/control_protocol.hpp"
 #include "carawayshelf_io/frame_connection.hpp"
-#include "carawayshelf_io/table_patience.hpp"
+#include "carawayshelf_io/instance_patience.hpp"
+#include "carawayshelf_io/instance_rotation.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -18,7 +19,8 @@
 {
 
 /** A daemon's connection to the control instances: subscribes at one of them, goes to the next when
-    it is lost, and sends heartbeats. All calls and handlers run on the io_context's thread. */
+    it is lost or hears no leader, and sends heartbeats. All calls and handlers run on the
+   io_context's thread. */
 class control_client
 {
 public:
@@ -64,14 +66,13 @@
     void handle_frame(frame& received);
     void lose_connection();
     void drop_if_silent();
-    void watch_for_table();
-    void leave_if_without_table();
+    void watch_for_leader();
+    void leave_if_out_of_touch();
     void learn_instances(const std::vector<std::uint64_t>& instances);
     void schedule_heartbeat();
 
     boost::asio::io_context& io_;
-    std::vector<endpoint> instances_;
-    std::vector<endpoint> configured_; ///< Those of the settings, which are always tried too.
+    instance_rotation instances_;
     std::shared_ptr<boost::asio::ip::tcp::socket> connecting_; ///< An attempt under way.
     time_point heard_;                                         ///< Any answer on this connection.
     time_point confirmed_; ///< An answer of an instance in touch with a leader.
@@ -81,8 +82,7 @@
     std::string service_;
     generation taken_ = 0;     ///< Newest generation taken of this slice.
     bool is_in_touch_ = false; ///< The connected instance has said that it hears a leader.
-    table_patience patience_;
-    std::size_t next_ = 0;
+    instance_patience patience_;
     std::shared_ptr<frame_connection> connection_;
     boost::asio::steady_timer retry_timer_;
     boost::asio::steady_timer heartbeat_timer_;
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -289,6 +289,7 @@
     if (received.subscription && received.subscription->lease)
     {
         handle_subscription(connection, *received.subscription);
+        answer_probe(connection, 0); // A daemon leaves an instance that is not in touch.
     }
     if (received.lease)
     {
--- a/modules/carawayshelf_io/table_patience.hpp
+++ b/modules/carawayshelf_io/instance_patience.hpp
@@ -7,12 +7,13 @@
 namespace carawayshelf
 {
 
-/** How long a daemon that holds no table stays at a control instance that has not said that it is
-   in touch with a leader. Answers the minute after a loss of all power: an instance that lost its
-    disk, or that no leader has found yet, has no table to give, while another one has. Each next
-    instance gets twice the time, so that while no instance can answer, the attempts of many daemons
-    don't keep all of them busy. Not thread-safe. */
-class table_patience
+/** How long a daemon stays at a control instance that it has just connected to and that has not
+   said that it is in touch with a leader. Answers the minute after a loss of all power, when an
+   instance that lost its disk or that no leader has found yet has no table to give, and cuts
+   between control instances, when those cut off give what they held before; another one is in
+   touch. Each next instance gets twice the time, so that while no instance can answer, the attempts
+   of many daemons don't keep all of them busy. Not thread-safe. */
+class instance_patience
 {
 public:
     /** At first: several times the way there and back. */
@@ -31,8 +32,8 @@
         limit_ = std::min(limit_ * 2, longest);
     }
 
-    /** A table has come. */
-    void note_table()
+    /** The connected instance is in touch with a leader. */
+    void note_in_touch()
     {
         limit_ = shortest;
     }
--- a/tests/unit/control_front_test.cpp
+++ b/tests/unit/control_front_test.cpp
@@ -15,6 +15,7 @@
 
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -331,6 +332,50 @@
     BOOST_TEST((steady_now() - began < std::chrono::seconds(1)));
 }
 
+BOOST_AUTO_TEST_CASE(daemons_leave_an_instance_that_hears_no_leader_for_one_that_does)
+{
+    cluster all;
+    BOOST_REQUIRE(all.replace_until_accepted(0, 1, "one"));
+    BOOST_REQUIRE(all.replace_until_accepted(2, 2, "two"));
+    // It holds a table, and two others that would vote are cut off from it.
+    const std::string kept = all.folder + "/kept";
+    all.servers[2].reset();
+    std::filesystem::copy(all.all_settings[2].data_folder, kept,
+                          std::filesystem::copy_options::recursive);
+    all.start(2);
+    control_settings cut_off = all.all_settings[2];
+    cut_off.is_first_start = false;
+    cut_off.peers = {{first_address + 7, all.control_port}, {first_address + 8, all.control_port}};
+    cut_off.address = {first_address + 6, all.control_port};
+    cut_off.data_folder = kept;
+    control_server alone(all.io, cut_off);
+    const failure started = alone.start();
+    BOOST_REQUIRE_MESSAGE(!started, started.detail);
+    constexpr std::size_t daemons = 16; // Each begins at one of the two by chance.
+    std::vector<bool> confirmed(daemons, false);
+    std::vector<std::unique_ptr<control_client>> clients;
+    const time_point began = steady_now();
+    for (std::size_t i = 0; i < daemons; ++i)
+    {
+        const auto report = [i]
+        {
+            daemon_report value;
+            value.name = "balancer-" + std::to_string(i);
+            value.held = 1; // Of an earlier connection.
+            return value;
+        };
+        clients.push_back(std::make_unique<control_client>(
+            all.io, std::vector<endpoint>{cut_off.address, all.all_settings[1].address}, report,
+            [](const table_update& /*update*/) {}));
+        clients.back()->set_confirmation_handler([&confirmed, i] { confirmed[i] = true; });
+        clients.back()->start();
+    }
+    BOOST_TEST(all.run_until(
+        [&confirmed]
+        { return std::find(confirmed.begin(), confirmed.end(), false) == confirmed.end(); }));
+    BOOST_TEST((steady_now() - began < std::chrono::seconds(1)));
+}
+
 BOOST_AUTO_TEST_CASE(an_instance_is_not_current_before_it_committed_in_the_present_term)
 {
     stored_state stored;
--- a/tests/unit/control_updates_test.cpp
+++ b/tests/unit/control_updates_test.cpp
@@ -3,11 +3,15 @@
     daemons that hold the same.
 */
 #include "carawayshelf_io/encoded_updates.hpp"
-#include "carawayshelf_io/table_patience.hpp"
+#include "carawayshelf_io/instance_patience.hpp"
+#include "carawayshelf_io/instance_rotation.hpp"
 #include "carawayshelf_io/update_gatherer.hpp"
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+#include <set>
+
 namespace carawayshelf
 {
 
@@ -85,21 +89,63 @@
     BOOST_TEST(updates.size() == 0U);
 }
 
-BOOST_AUTO_TEST_CASE(instances_without_a_table_get_more_time_one_after_the_other)
+BOOST_AUTO_TEST_CASE(instances_that_are_out_of_touch_get_more_time_one_after_the_other)
 {
-    table_patience patience;
-    BOOST_TEST((patience.limit() == table_patience::shortest));
+    instance_patience patience;
+    BOOST_TEST((patience.limit() == instance_patience::shortest));
     duration total{0};
     for (int tried = 0; tried < 10; ++tried)
     {
         total += patience.limit();
         patience.note_tried();
     }
-    BOOST_TEST((patience.limit() == table_patience::longest));
+    BOOST_TEST((patience.limit() == instance_patience::longest));
     // 10,000 daemons at 9 instances: fewer than 1,000 attempts a second at each.
     BOOST_TEST((total > std::chrono::seconds(8)));
-    patience.note_table();
-    BOOST_TEST((patience.limit() == table_patience::shortest));
+    patience.note_in_touch();
+    BOOST_TEST((patience.limit() == instance_patience::shortest));
+}
+
+BOOST_AUTO_TEST_CASE(no_instance_is_tried_again_before_all_others_were)
+{
+    const auto instance = [](std::uint32_t number)
+    {
+        return endpoint{0x0A000000 + number, 7000};
+    };
+    for (std::uint32_t seed = 0; seed < 50; ++seed)
+    {
+        instance_rotation rotation({instance(1), instance(2), instance(3)}, seed);
+        // Each instance that is tried tells of all of them, in its own order.
+        std::set<endpoint> tried;
+        for (std::uint32_t i = 0; i < 5; ++i)
+        {
+            const endpoint now = rotation.next();
+            BOOST_TEST(tried.insert(now).second);
+            rotation.learn({instance(5), instance(4), instance(3), instance(1)});
+        }
+        rotation.learn({instance(1)});
+        std::set<endpoint> left;
+        for (std::uint32_t i = 0; i < 3; ++i)
+        {
+            left.insert(rotation.next());
+        }
+        BOOST_TEST((left == std::set<endpoint>{instance(1), instance(2), instance(3)}));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(daemons_begin_at_different_instances)
+{
+    std::map<endpoint, int> first;
+    for (std::uint32_t seed = 0; seed < 300; ++seed)
+    {
+        instance_rotation rotation({{1, 7000}, {2, 7000}, {3, 7000}}, seed);
+        ++first[rotation.next()];
+    }
+    BOOST_TEST(first.size() == 3U);
+    for (const auto& [instance, count] : first)
+    {
+        BOOST_TEST(count > 60);
+    }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
