--- a/modules/carawayshelf_io/control_client.cpp
+++ b/modules/carawayshelf_io/control_client.cpp
@@ -211,6 +211,7 @@
 void control_client::learn_instances(const std::vector<std::uint64_t>& instances)
 {
     std::vector<endpoint> known;
+    known.reserve(instances.size());
     for (const std::uint64_t packed : instances)
     {
         known.push_back(unpack_endpoint(packed));
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -41,6 +41,7 @@
     fi
 done < <("$program" --list_content 2>&1 | sed 's/\*$//' | awk '{ match($0, /^ */); print (RLENGTH > 0 ? " " : "") $1 }' | sed 's/^ /\t/')
 
+run_test fuzz/decoders "build/$preset/tests/fuzz_decoders" --corpus=tests/fuzz/corpus
 run_test process/runbook env "CLUSTER_BUILD=$PWD/build/$preset" tests/process/runbook.sh
 
 if [ -s KNOWN-RED.txt ]; then
--- /dev/null
+++ b/tests/fuzz/decoder_targets.cpp
@@ -0,0 +1,454 @@
+#include "decoder_targets.hpp"
+
+#include "carawayshelf_io/registration_desk.hpp"
+#include "carawayshelf_packets/packet_table.hpp"
+#include "carawayshelf_wire/coap_message.hpp"
+#include "carawayshelf_wire/envelope.hpp"
+#include "carawayshelf_wire/frame_codec.hpp"
+#include "carawayshelf_wire/packet_envelope.hpp"
+#include "carawayshelf_wire/state_codec.hpp"
+#include "http_calls.hpp"
+
+#include <array>
+
+namespace carawayshelf::fuzz
+{
+
+namespace
+{
+
+const std::uint8_t* bytes_of(std::string_view text)
+{
+    return reinterpret_cast<const std::uint8_t*>(text.data());
+}
+
+outcome accepted_if(bool is_consistent)
+{
+    return is_consistent ? outcome::accepted : outcome::inconsistent;
+}
+
+/** Makes the tables that a daemon makes of what control sends. */
+void make_tables(const table_update& update)
+{
+    subscriber_table held;
+    if (held.apply(update))
+    {
+        static_cast<void>(packet_table(held, packet_table()));
+        static_cast<void>(held.build_routing_table());
+    }
+}
+
+outcome run_packet_head(std::string_view bytes)
+{
+    const platform::wire_packets format;
+    packet_head head;
+    if (!format.decode(bytes, head))
+    {
+        return outcome::refused;
+    }
+    std::string copy(bytes);
+    format.set_mark(copy.data(), 4711);
+    packet_head again;
+    const bool is_marked = format.decode(copy, again) && again.mark == 4711 && !again.is_returned;
+    std::array<std::uint8_t, packet_format::max_reset_bytes> reset{};
+    const std::size_t size =
+        format.encode_reset({head.source, head.destination}, reset_sequence(head), reset.data());
+    packet_head sent;
+    const bool is_reset =
+        format.decode({reinterpret_cast<const char*>(reset.data()), size}, sent) && sent.is_reset &&
+        sent.source == head.destination && sent.destination == head.source;
+    return accepted_if(is_marked && is_reset);
+}
+
+outcome run_packet_envelope(std::string_view bytes)
+{
+    packet_envelope read;
+    std::size_t size = 0;
+    if (!decode_packet_envelope(bytes_of(bytes), bytes.size(), read, size))
+    {
+        return outcome::refused;
+    }
+    std::array<std::uint8_t, max_packet_envelope_bytes> first{};
+    const std::size_t first_size = encode_packet_envelope(read, first.data());
+    packet_envelope again;
+    std::size_t again_size = 0;
+    if (!decode_packet_envelope(first.data(), first_size, again, again_size))
+    {
+        return outcome::inconsistent;
+    }
+    std::array<std::uint8_t, max_packet_envelope_bytes> second{};
+    return accepted_if(size <= bytes.size() && again_size == first_size &&
+                       encode_packet_envelope(again, second.data()) == first_size &&
+                       first == second);
+}
+
+outcome run_coap_envelope(std::string_view bytes)
+{
+    envelope read;
+    std::size_t size = 0;
+    if (decode_envelope(bytes_of(bytes), bytes.size(), read, size) != envelope_fault::none)
+    {
+        return outcome::refused;
+    }
+    std::array<std::uint8_t, max_envelope_bytes> first{};
+    const std::size_t first_size = encode_envelope(read, first.data());
+    envelope again;
+    std::size_t again_size = 0;
+    if (decode_envelope(first.data(), first_size, again, again_size) != envelope_fault::none)
+    {
+        return outcome::inconsistent;
+    }
+    std::array<std::uint8_t, max_envelope_bytes> second{};
+    return accepted_if(size <= bytes.size() && again_size == first_size &&
+                       encode_envelope(again, second.data()) == first_size && first == second);
+}
+
+outcome run_coap_message(std::string_view bytes)
+{
+    registration_desk desk;
+    std::string answer;
+    desk.handle(bytes, answer);
+    const std::optional<coap_message> read = parse_coap(bytes);
+    if (!read)
+    {
+        return outcome::refused;
+    }
+    const std::string first = encode_coap(*read);
+    const std::optional<coap_message> again = parse_coap(first);
+    return accepted_if(again && encode_coap(*again) == first);
+}
+
+outcome run_change(std::string_view bytes)
+{
+    const std::optional<change> read = decode_change(bytes);
+    if (!read)
+    {
+        return outcome::refused;
+    }
+    const std::string first = encode_change(*read);
+    const std::optional<change> again = decode_change(first);
+    cluster_state state;
+    state.apply(1, *read);
+    make_tables(state.collect_update(0, ""));
+    return accepted_if(again && encode_change(*again) == first);
+}
+
+outcome run_state(std::string_view bytes)
+{
+    const std::optional<cluster_state> read = decode_state(bytes);
+    if (!read)
+    {
+        return outcome::refused;
+    }
+    make_tables(read->collect_update(0, ""));
+    const std::string first = encode_state(*read);
+    const std::optional<cluster_state> again = decode_state(first);
+    return accepted_if(again && encode_state(*again) == first);
+}
+
+outcome run_frame(std::string_view bytes)
+{
+    frame read;
+    if (decode_frame(bytes, read))
+    {
+        return outcome::refused;
+    }
+    if (read.update)
+    {
+        const std::optional<table_update> update = unpack_update(*read.update);
+        if (update)
+        {
+            make_tables(*update);
+        }
+    }
+    if (read.consensus)
+    {
+        const std::optional<message> told = unpack_message(*read.consensus);
+        if (told)
+        {
+            static_cast<void>(pack_message(*told));
+        }
+    }
+    const std::string first = encode_frame(read);
+    frame again;
+    return accepted_if(!decode_frame(std::string_view(first).substr(frame_prefix_bytes), again) &&
+                       encode_frame(again) == first);
+}
+
+outcome run_record(std::string_view bytes)
+{
+    const std::optional<log_record> read = decode_record(bytes);
+    if (!read)
+    {
+        return outcome::refused;
+    }
+    const std::string first = encode_record(*read);
+    const std::optional<log_record> again = decode_record(first);
+    return accepted_if(again && encode_record(*again) == first);
+}
+
+outcome run_snapshot(std::string_view bytes)
+{
+    const std::optional<snapshot> read = decode_snapshot(bytes);
+    if (!read)
+    {
+        return outcome::refused;
+    }
+    const std::string first = encode_snapshot(*read);
+    const std::optional<snapshot> again = decode_snapshot(first);
+    return accepted_if(again && encode_snapshot(*again) == first);
+}
+
+outcome run_configuration(std::string_view bytes)
+{
+    traffic_configuration read;
+    if (!platform::decode_configuration(std::string(bytes), read).empty())
+    {
+        return outcome::refused;
+    }
+    const std::string first = encode_change(replace_configuration{read});
+    const std::optional<change> again = decode_change(first);
+    cluster_state state;
+    state.apply(1, replace_configuration{read});
+    make_tables(state.collect_update(0, ""));
+    return accepted_if(again && encode_change(*again) == first);
+}
+
+outcome run_heartbeat(std::string_view bytes)
+{
+    const std::optional<server_announcement> read =
+        platform::decode_heartbeat("server", std::string(bytes));
+    return read ? outcome::accepted : outcome::refused;
+}
+
+traffic_configuration sample_configuration(std::uint32_t routes)
+{
+    traffic_configuration made;
+    made.version = 7;
+    made.content = "as the operator sent it";
+    made.services = {{"ordering", 200, 1.5}, {"catalogue", 0, 0.0}};
+    for (std::uint32_t i = 0; i < routes; ++i)
+    {
+        traffic_route route;
+        route.name = "route-" + std::to_string(i);
+        route.address = {0xC6120001 + i, 443};
+        route.timeout_ms = 500;
+        route.target_latency_ms = 100;
+        route.shares = {{"ordering", 90}, {"catalogue", 10}};
+        made.routes.push_back(route);
+    }
+    return made;
+}
+
+announce_member sample_member(std::uint32_t number)
+{
+    announce_member made;
+    made.name = "side-cuyo-a-" + std::to_string(number);
+    made.domain = "cuyo-a";
+    made.service = number % 2 == 0 ? "ordering" : "catalogue";
+    made.data = {0x0A000000 + number, 7000};
+    made.epoch = number;
+    made.protocol = number % 3 == 0 ? flow_protocol::coap : flow_protocol::packets;
+    made.state = member_state::warm;
+    return made;
+}
+
+put_service sample_entry()
+{
+    put_service made;
+    made.id = 4711;
+    made.operator_name = "alice";
+    made.entry.name = "ordering";
+    return made;
+}
+
+cluster_state sample_state(std::uint32_t members)
+{
+    cluster_state made;
+    generation at = 0;
+    made.apply(++at, sample_entry());
+    made.apply(++at, replace_configuration{sample_configuration(3)});
+    for (std::uint32_t i = 1; i <= members; ++i)
+    {
+        made.apply(++at, sample_member(i));
+    }
+    made.apply(++at, mark_domain{1, "bob", 0, "cuyo-a", true, true});
+    return made;
+}
+
+std::string without_prefix(const frame& value)
+{
+    return encode_frame(value).substr(frame_prefix_bytes);
+}
+
+std::vector<std::string> frame_samples()
+{
+    std::vector<std::string> samples;
+    for (const std::uint32_t members : {2U, 80U}) // The longer one goes out compressed.
+    {
+        frame sent;
+        sent.update = pack_update(sample_state(members).collect_update(0, ""));
+        samples.push_back(without_prefix(sent));
+    }
+    message told;
+    told.from = 1;
+    told.to = 2;
+    told.term = 3;
+    told.records = {{5, 3, record_kind::payload, encode_change(sample_entry()), {}},
+                    {6, 3, record_kind::members, "", {1, 2, 3}}};
+    frame append;
+    append.consensus = pack_message(told);
+    samples.push_back(without_prefix(append));
+    told.kind = message_kind::install_snapshot;
+    told.installed = {6, 3, {1, 2, 3}, encode_state(sample_state(2))};
+    frame install;
+    install.consensus = pack_message(told);
+    samples.push_back(without_prefix(install));
+    frame order;
+    order.client_request = std::make_unique<buffers::request_object>();
+    order.client_request->proposed = pack_change(replace_configuration{sample_configuration(2)});
+    samples.push_back(without_prefix(order));
+    return samples;
+}
+
+std::vector<std::string> change_samples()
+{
+    return {encode_change(sample_entry()),
+            encode_change(remove_service{4712, "alice", 1, "ordering"}),
+            encode_change(mark_domain{4713, "bob", 0, "cuyo-a", true, false}),
+            encode_change(sample_member(1)),
+            encode_change(set_member_state{1, member_state::draining}),
+            encode_change(retire_member{1}),
+            encode_change(release_buckets{1, {{7, 3}, {8, 4}}}),
+            encode_change(replace_configuration{sample_configuration(2)})};
+}
+
+std::vector<std::string> packet_envelope_samples()
+{
+    std::vector<std::string> samples;
+    for (std::size_t kind = 0; kind < packet_envelope_kind_names.size(); ++kind)
+    {
+        packet_envelope value;
+        value.kind = static_cast<packet_envelope_kind>(kind);
+        value.held = 77;
+        value.balancer = {0x0A010001, 7000};
+        value.flow = {{0x64400001, 2000}, {0xC6120001, 443}};
+        value.service_time = std::chrono::milliseconds(20);
+        value.slots = 2;
+        value.add_candidate({0x0A000001, 7000});
+        value.add_candidate({0x0A000002, 7000});
+        std::array<std::uint8_t, max_packet_envelope_bytes> buffer{};
+        const std::size_t size = encode_packet_envelope(value, buffer.data());
+        samples.emplace_back(reinterpret_cast<const char*>(buffer.data()), size);
+    }
+    return samples;
+}
+
+std::string coap_envelope_sample()
+{
+    envelope value;
+    value.kind = envelope_kind::placed;
+    value.flow = {3, {0x7F000301, 40001}};
+    value.reply_to = {0x7F000201, 7101};
+    value.owner = {5, {0x7F000401, 7201}, 12};
+    value.earlier[0] = {4, {0x7F000402, 7201}, 0};
+    value.earlier_count = 1;
+    value.visits[0] = {4, 75};
+    value.visit_count = 1;
+    std::array<std::uint8_t, max_envelope_bytes> buffer{};
+    const std::size_t size = encode_envelope(value, buffer.data());
+    return {reinterpret_cast<const char*>(buffer.data()), size};
+}
+
+std::vector<std::string> coap_samples()
+{
+    coap_message request;
+    request.code = coap_codes::post;
+    request.message_id = 4711;
+    request.token = "token";
+    request.add_uint(coap_options::deadline, 1500);
+    request.add_path("a/b");
+    request.add_option(coap_options::uri_query, "q=5");
+    request.add_option(coap_options::echo, std::string(16, 'e'));
+    request.payload = "payload";
+    coap_message registration;
+    registration.code = coap_codes::post;
+    registration.message_id = 1;
+    registration.add_path("rd");
+    registration.add_option(coap_options::uri_query, "ep=server-1");
+    registration.add_option(coap_options::uri_query, "d=ordering");
+    registration.add_option(coap_options::uri_query, "base=coap://127.0.0.1:5683");
+    return {encode_coap(request), encode_coap(registration),
+            encode_coap(make_empty(coap_type::reset, 7))};
+}
+
+std::vector<std::string> packet_samples()
+{
+    std::array<std::uint8_t, packet_format::max_reset_bytes> reset{};
+    const platform::wire_packets format;
+    const std::size_t size =
+        format.encode_reset({{0x64400001, 2000}, {0xC6120001, 443}}, 9, reset.data());
+    const std::string head(reinterpret_cast<const char*>(reset.data()), size);
+    std::string with_data = head + "data";
+    with_data[12] = 4; // Length of the data.
+    return {head, with_data};
+}
+
+const std::vector<std::string> json_tokens = {"{",
+                                              "}",
+                                              "[",
+                                              "]",
+                                              "\"",
+                                              ":",
+                                              ",",
+                                              "null",
+                                              "true",
+                                              "-1",
+                                              "1e999",
+                                              "18446744073709551616",
+                                              "0.0",
+                                              "\\u0000",
+                                              "\\ud800",
+                                              "\"version\":1,",
+                                              std::string(1000, '['),
+                                              "\xFF\xFE"};
+
+const char* const configuration_sample =
+    R"({"version":7,"routes":[)"
+    R"({"name":"r-1","hostname":"198.18.0.1","path_prefix":"/8443/","route_type":"idempotent",)"
+    R"("timeout_ms":1500,"target_latency_ms":100,"priority":2,"weighted_backends":[)"
+    R"({"backend":"a","weight":90},{"backend":"b","weight":10}],"max_attempts":2},)"
+    R"({"name":"r-2","hostname":"198.18.0.1","path_prefix":"/8080/","route_type":"non_idempotent",)"
+    R"("timeout_ms":2000,"target_latency_ms":120,"priority":1,"backend":"a","max_attempts":2}],)"
+    R"("services":[{"name":"a","max_connections":2000,"warmup_per_s":1.5},)"
+    R"({"name":"b","max_connections":2000}],"limits":{"idle_timeout_ms":15000}})";
+
+const char* const heartbeat_sample =
+    R"({"backend":"a","address":"10.128.0.9:8080","zone":"z","version":"v1","capacity_slots":2,)"
+    R"("state":"ready","warmup_left_ms":250,"seq":4,"born":1700000000000})";
+
+} // namespace
+
+std::vector<decoder_target> make_decoder_targets()
+{
+    const cluster_state state = sample_state(4);
+    return {
+        {"packet_head", run_packet_head, packet_samples(), {}},
+        {"packet_envelope", run_packet_envelope, packet_envelope_samples(), {}},
+        {"coap_envelope", run_coap_envelope, {coap_envelope_sample()}, {}},
+        {"coap_message", run_coap_message, coap_samples(), {}},
+        {"change", run_change, change_samples(), {}},
+        {"state", run_state, {encode_state(state)}, {}},
+        {"frame", run_frame, frame_samples(), {}},
+        {"record",
+         run_record,
+         {encode_record({5, 3, record_kind::payload, "payload", {}}),
+          encode_record({6, 3, record_kind::members, "", {1, 2, 3}})},
+         {}},
+        {"snapshot", run_snapshot, {encode_snapshot({6, 3, {1, 2, 3}, encode_state(state)})}, {}},
+        {"configuration", run_configuration, {configuration_sample}, json_tokens},
+        {"heartbeat", run_heartbeat, {heartbeat_sample}, json_tokens},
+    };
+}
+
+} // namespace carawayshelf::fuzz
--- /dev/null
+++ b/tests/fuzz/fuzz_decoders.cpp
@@ -0,0 +1,175 @@
+/** @file
+    fuzz_decoders: feeds damaged inputs to every decoder that reads what comes from outside. Run it
+    under a sanitizer; the same seed gives the same run.
+*/
+#include "decoder_targets.hpp"
+#include "mutator.hpp"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <set>
+
+DEFINE_uint64(seed, 1, "seed of the run");
+DEFINE_uint64(rounds, 20000, "inputs for each decoder");
+DEFINE_uint64(seconds, 0, "time for each decoder, instead of rounds");
+DEFINE_string(target, "", "only this decoder");
+DEFINE_string(corpus, "", "folder with a folder of inputs for each decoder");
+DEFINE_string(last_input, "",
+              "file that holds each input while it is read, for one that ends the "
+              "program");
+DEFINE_bool(write_corpus, false, "writes the well-formed samples to the corpus, and ends");
+
+namespace
+{
+
+using namespace carawayshelf::fuzz;
+
+constexpr int exit_fault = 1;
+constexpr int exit_usage = 2;
+
+/** Accepted inputs that are kept to be damaged further. */
+constexpr std::size_t most_found = 256;
+
+constexpr std::uint64_t rounds_between_clock_reads = 256;
+
+void write_file(const std::filesystem::path& path, const std::string& bytes)
+{
+    std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
+}
+
+std::string read_file(const std::filesystem::path& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+/** The samples, and what the corpus holds; in an order that doesn't depend on the file system. */
+std::vector<std::string> first_pool(const decoder_target& target)
+{
+    std::vector<std::string> pool = target.samples;
+    const std::filesystem::path folder = std::filesystem::path(FLAGS_corpus) / target.name;
+    std::set<std::filesystem::path> files;
+    if (!FLAGS_corpus.empty() && std::filesystem::is_directory(folder))
+    {
+        for (const std::filesystem::directory_entry& item :
+             std::filesystem::directory_iterator(folder))
+        {
+            files.insert(item.path());
+        }
+    }
+    for (const std::filesystem::path& file : files)
+    {
+        pool.push_back(read_file(file));
+    }
+    return pool;
+}
+
+void write_samples(const decoder_target& target)
+{
+    const std::filesystem::path folder = std::filesystem::path(FLAGS_corpus) / target.name;
+    std::filesystem::create_directories(folder);
+    for (std::size_t i = 0; i < target.samples.size(); ++i)
+    {
+        write_file(folder / ("sample-" + std::to_string(i)), target.samples[i]);
+    }
+}
+
+/** Runs one input. Returns what the decoder made of it. */
+outcome run_input(const decoder_target& target, const std::string& bytes)
+{
+    if (!FLAGS_last_input.empty())
+    {
+        write_file(FLAGS_last_input, bytes);
+    }
+    return target.run(bytes);
+}
+
+/** Returns whether all inputs did no harm. */
+bool fuzz(const decoder_target& target)
+{
+    const std::chrono::steady_clock::time_point began = std::chrono::steady_clock::now();
+    std::vector<std::string> pool = first_pool(target);
+    for (const std::string& bytes : pool)
+    {
+        if (run_input(target, bytes) == outcome::inconsistent)
+        {
+            std::cout << target.name << ": an input of the corpus does not come back as it was\n";
+            return false;
+        }
+    }
+    const std::size_t known = pool.size();
+    mutator inputs(FLAGS_seed);
+    std::array<std::uint64_t, 2> counts{};
+    const auto is_over = [began](std::uint64_t round)
+    {
+        if (FLAGS_seconds == 0)
+        {
+            return round >= FLAGS_rounds;
+        }
+        return round % rounds_between_clock_reads == 0 &&
+               std::chrono::steady_clock::now() - began >= std::chrono::seconds(FLAGS_seconds);
+    };
+    for (std::uint64_t round = 0; !is_over(round); ++round)
+    {
+        const std::string bytes = inputs.next(pool, target.tokens);
+        const outcome result = run_input(target, bytes);
+        if (result == outcome::inconsistent)
+        {
+            const std::string file = "inconsistent-" + target.name;
+            write_file(file, bytes);
+            std::cout << target.name << ": seed " << FLAGS_seed << ", round " << round
+                      << ": what was read does not come back as it was; see " << file << '\n';
+            return false;
+        }
+        const bool is_accepted = result == outcome::accepted;
+        ++counts[is_accepted ? 1 : 0];
+        if (is_accepted && pool.size() < known + most_found)
+        {
+            pool.push_back(bytes);
+        }
+    }
+    std::cout << target.name << ": " << counts[1] << " accepted, " << counts[0] << " refused\n";
+    return counts[0] != 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("feeds damaged inputs to the decoders");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const std::vector<decoder_target> targets = make_decoder_targets();
+    bool is_good = true;
+    bool is_known = false;
+    for (const decoder_target& target : targets)
+    {
+        if (!FLAGS_target.empty() && FLAGS_target != target.name)
+        {
+            continue;
+        }
+        is_known = true;
+        if (FLAGS_write_corpus)
+        {
+            write_samples(target);
+            continue;
+        }
+        is_good = fuzz(target) && is_good;
+    }
+    if (!is_known)
+    {
+        std::cerr << "no decoder is called " << FLAGS_target << "; the decoders are:\n";
+        for (const decoder_target& target : targets)
+        {
+            std::cerr << "  " << target.name << '\n';
+        }
+        return exit_usage;
+    }
+    return is_good ? 0 : exit_fault;
+}
--- /dev/null
+++ b/tests/fuzz/mutator.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace carawayshelf::fuzz
+{
+
+/** Makes inputs for a decoder from well-formed ones. The same seed gives the same inputs on every
+    machine. Not thread-safe. */
+class mutator
+{
+public:
+    /** Longest input. */
+    static constexpr std::size_t max_bytes = std::size_t{64} * 1024;
+
+    explicit mutator(std::uint64_t seed) : random_(seed)
+    {
+    }
+
+    /** A damaged copy of an input, mixed with parts of others now and then.
+        Precondition: the pool is not empty.
+        @param tokens  what is inserted now and then, such as a text format's words */
+    std::string next(const std::vector<std::string>& pool, const std::vector<std::string>& tokens);
+
+private:
+    std::size_t below(std::size_t limit);
+    void change_once(std::string& bytes, const std::vector<std::string>& pool,
+                     const std::vector<std::string>& tokens);
+    void overwrite_integer(std::string& bytes);
+    void change_span(std::string& bytes);
+
+    std::mt19937_64 random_;
+};
+
+} // namespace carawayshelf::fuzz
