Tests: one copy of samples, damage, round trips and fleets of daemons

- The decoders' samples of CoAP and of the platform stand once, for unit tests and fuzz_decoders (tests/fakes/wire_samples.hpp, tests/platform/platform_samples.hpp); check_platform_names.sh looks at the sources in tests/fuzz too.
- wire tests damage their inputs by the fuzzers' mutator instead of a second one.
- come_back() and header_comes_back() in place of seven round trips.
- daemon_fleet in control_front, begin_without() in flow_inquiry.
Assertions as before.

--- a/scripts/check_platform_names.sh
+++ b/scripts/check_platform_names.sh
@@ -5,7 +5,7 @@
 names='Config\.Re(place|ad)|Evacuate\.(Start|Finish)|Instances\.(Heartbeat|Deregister)|/carawayshelf/ready'
 names+='|weighted_backends|path_prefix|route_type|warmup|datagram_addr|control_plane|outbound|seed_nodes'
 names+='|internal_port_range|bind_addrs|capacity_slots|max_connections|heartbeat_url|CARAWAYSHELF_BOOT|BOUNCED'
-if grep -rnE "$names" modules programs schemas/*.fbs config tests/unit tests/fakes tests/standins benchmarks; then
+if grep -rnE "$names" modules programs schemas/*.fbs config tests/unit tests/fakes tests/fuzz/*.?pp tests/standins benchmarks; then
     echo "a name of the platform outside platform/: decode it there into a type of ours"
     exit 1
 fi
--- a/tests/fuzz/decoder_targets.cpp
+++ b/tests/fuzz/decoder_targets.cpp
@@ -8,6 +8,8 @@
 #include "carawayshelf_wire/packet_envelope.hpp"
 #include "carawayshelf_wire/state_codec.hpp"
 #include "http_calls.hpp"
+#include "platform_samples.hpp"
+#include "wire_samples.hpp"
 
 #include <array>
 
@@ -60,47 +62,65 @@
     return accepted_if(is_marked && is_reset);
 }
 
-outcome run_packet_envelope(std::string_view bytes)
+/** A value that is decoded as a whole must come back from its encoding. */
+template <typename Value>
+outcome come_back(std::string_view bytes, std::optional<Value> (*decode)(std::string_view),
+                  std::string (*encode)(const Value&))
 {
-    packet_envelope read;
-    std::size_t size = 0;
-    if (!decode_packet_envelope(bytes_of(bytes), bytes.size(), read, size))
+    const std::optional<Value> read = decode(bytes);
+    if (!read)
     {
         return outcome::refused;
     }
-    std::array<std::uint8_t, max_packet_envelope_bytes> first{};
-    const std::size_t first_size = encode_packet_envelope(read, first.data());
-    packet_envelope again;
-    std::size_t again_size = 0;
-    if (!decode_packet_envelope(first.data(), first_size, again, again_size))
-    {
-        return outcome::inconsistent;
-    }
-    std::array<std::uint8_t, max_packet_envelope_bytes> second{};
-    return accepted_if(size <= bytes.size() && again_size == first_size &&
-                       encode_packet_envelope(again, second.data()) == first_size &&
-                       first == second);
+    const std::string first = encode(*read);
+    const std::optional<Value> again = decode(first);
+    return accepted_if(again && encode(*again) == first);
 }
 
-outcome run_coap_envelope(std::string_view bytes)
+/** Writes a header that stands in front of other bytes. */
+template <std::size_t MaxBytes, typename Value>
+std::string write_header(const Value& value, std::size_t (*encode)(const Value&, std::uint8_t*))
 {
-    envelope read;
+    std::array<std::uint8_t, MaxBytes> buffer{};
+    const std::size_t size = encode(value, buffer.data());
+    return {reinterpret_cast<const char*>(buffer.data()), size};
+}
+
+/** So must such a header, and its length must be told. */
+template <std::size_t MaxBytes, typename Value>
+outcome header_comes_back(std::string_view bytes,
+                          bool (*decode)(const std::uint8_t*, std::size_t, Value&, std::size_t&),
+                          std::size_t (*encode)(const Value&, std::uint8_t*))
+{
+    Value read;
     std::size_t size = 0;
-    if (decode_envelope(bytes_of(bytes), bytes.size(), read, size) != envelope_fault::none)
+    if (!decode(bytes_of(bytes), bytes.size(), read, size))
     {
         return outcome::refused;
     }
-    std::array<std::uint8_t, max_envelope_bytes> first{};
-    const std::size_t first_size = encode_envelope(read, first.data());
-    envelope again;
+    const std::string first = write_header<MaxBytes>(read, encode);
+    Value again;
     std::size_t again_size = 0;
-    if (decode_envelope(first.data(), first_size, again, again_size) != envelope_fault::none)
-    {
-        return outcome::inconsistent;
-    }
-    std::array<std::uint8_t, max_envelope_bytes> second{};
-    return accepted_if(size <= bytes.size() && again_size == first_size &&
-                       encode_envelope(again, second.data()) == first_size && first == second);
+    return accepted_if(decode(bytes_of(first), first.size(), again, again_size) &&
+                       size <= bytes.size() && again_size == first.size() &&
+                       write_header<MaxBytes>(again, encode) == first);
+}
+
+outcome run_packet_envelope(std::string_view bytes)
+{
+    return header_comes_back<max_packet_envelope_bytes>(bytes, decode_packet_envelope,
+                                                        encode_packet_envelope);
+}
+
+bool reads_coap_envelope(const std::uint8_t* data, std::size_t size, envelope& value,
+                         std::size_t& header_size)
+{
+    return decode_envelope(data, size, value, header_size) == envelope_fault::none;
+}
+
+outcome run_coap_envelope(std::string_view bytes)
+{
+    return header_comes_back<max_envelope_bytes>(bytes, reads_coap_envelope, encode_envelope);
 }
 
 outcome run_coap_message(std::string_view bytes)
@@ -108,42 +128,33 @@
     registration_desk desk;
     std::string answer;
     desk.handle(bytes, answer);
-    const std::optional<coap_message> read = parse_coap(bytes);
-    if (!read)
-    {
-        return outcome::refused;
-    }
-    const std::string first = encode_coap(*read);
-    const std::optional<coap_message> again = parse_coap(first);
-    return accepted_if(again && encode_coap(*again) == first);
+    return come_back(bytes, parse_coap, encode_coap);
+}
+
+/** Makes the tables that a daemon has once a change was made. */
+void make_tables_after(const change& edit)
+{
+    cluster_state state;
+    state.apply(1, edit);
+    make_tables(state.collect_update(0, ""));
 }
 
 outcome run_change(std::string_view bytes)
 {
-    const std::optional<change> read = decode_change(bytes);
-    if (!read)
+    if (const std::optional<change> read = decode_change(bytes))
     {
-        return outcome::refused;
+        make_tables_after(*read);
     }
-    const std::string first = encode_change(*read);
-    const std::optional<change> again = decode_change(first);
-    cluster_state state;
-    state.apply(1, *read);
-    make_tables(state.collect_update(0, ""));
-    return accepted_if(again && encode_change(*again) == first);
+    return come_back(bytes, decode_change, encode_change);
 }
 
 outcome run_state(std::string_view bytes)
 {
-    const std::optional<cluster_state> read = decode_state(bytes);
-    if (!read)
+    if (const std::optional<cluster_state> read = decode_state(bytes))
     {
-        return outcome::refused;
+        make_tables(read->collect_update(0, ""));
     }
-    make_tables(read->collect_update(0, ""));
-    const std::string first = encode_state(*read);
-    const std::optional<cluster_state> again = decode_state(first);
-    return accepted_if(again && encode_state(*again) == first);
+    return come_back(bytes, decode_state, encode_state);
 }
 
 outcome run_frame(std::string_view bytes)
@@ -177,26 +188,12 @@
 
 outcome run_record(std::string_view bytes)
 {
-    const std::optional<log_record> read = decode_record(bytes);
-    if (!read)
-    {
-        return outcome::refused;
-    }
-    const std::string first = encode_record(*read);
-    const std::optional<log_record> again = decode_record(first);
-    return accepted_if(again && encode_record(*again) == first);
+    return come_back(bytes, decode_record, encode_record);
 }
 
 outcome run_snapshot(std::string_view bytes)
 {
-    const std::optional<snapshot> read = decode_snapshot(bytes);
-    if (!read)
-    {
-        return outcome::refused;
-    }
-    const std::string first = encode_snapshot(*read);
-    const std::optional<snapshot> again = decode_snapshot(first);
-    return accepted_if(again && encode_snapshot(*again) == first);
+    return come_back(bytes, decode_snapshot, encode_snapshot);
 }
 
 outcome run_configuration(std::string_view bytes)
@@ -206,12 +203,11 @@
     {
         return outcome::refused;
     }
-    const std::string first = encode_change(replace_configuration{read});
-    const std::optional<change> again = decode_change(first);
-    cluster_state state;
-    state.apply(1, replace_configuration{read});
-    make_tables(state.collect_update(0, ""));
-    return accepted_if(again && encode_change(*again) == first);
+    make_tables_after(replace_configuration{read});
+    const std::string replaces = encode_change(replace_configuration{read});
+    return come_back(replaces, decode_change, encode_change) == outcome::accepted
+               ? outcome::accepted
+               : outcome::inconsistent;
 }
 
 outcome run_heartbeat(std::string_view bytes)
@@ -337,40 +333,13 @@
         value.slots = 2;
         value.add_candidate({0x0A000001, 7000});
         value.add_candidate({0x0A000002, 7000});
-        std::array<std::uint8_t, max_packet_envelope_bytes> buffer{};
-        const std::size_t size = encode_packet_envelope(value, buffer.data());
-        samples.emplace_back(reinterpret_cast<const char*>(buffer.data()), size);
+        samples.push_back(write_header<max_packet_envelope_bytes>(value, encode_packet_envelope));
     }
     return samples;
 }
 
-std::string coap_envelope_sample()
-{
-    envelope value;
-    value.kind = envelope_kind::placed;
-    value.flow = {3, {0x7F000301, 40001}};
-    value.reply_to = {0x7F000201, 7101};
-    value.owner = {5, {0x7F000401, 7201}, 12};
-    value.earlier[0] = {4, {0x7F000402, 7201}, 0};
-    value.earlier_count = 1;
-    value.visits[0] = {4, 75};
-    value.visit_count = 1;
-    std::array<std::uint8_t, max_envelope_bytes> buffer{};
-    const std::size_t size = encode_envelope(value, buffer.data());
-    return {reinterpret_cast<const char*>(buffer.data()), size};
-}
-
 std::vector<std::string> coap_samples()
 {
-    coap_message request;
-    request.code = coap_codes::post;
-    request.message_id = 4711;
-    request.token = "token";
-    request.add_uint(coap_options::deadline, 1500);
-    request.add_path("a/b");
-    request.add_option(coap_options::uri_query, "q=5");
-    request.add_option(coap_options::echo, std::string(16, 'e'));
-    request.payload = "payload";
     coap_message registration;
     registration.code = coap_codes::post;
     registration.message_id = 1;
@@ -378,7 +347,7 @@
     registration.add_option(coap_options::uri_query, "ep=server-1");
     registration.add_option(coap_options::uri_query, "d=ordering");
     registration.add_option(coap_options::uri_query, "base=coap://127.0.0.1:5683");
-    return {encode_coap(request), encode_coap(registration),
+    return {encode_coap(fakes::make_message()), encode_coap(registration),
             encode_coap(make_empty(coap_type::reset, 7))};
 }
 
@@ -413,20 +382,6 @@
                                               std::string(1000, '['),
                                               "\xFF\xFE"};
 
-const char* const configuration_sample =
-    R"({"version":7,"routes":[)"
-    R"({"name":"r-1","hostname":"198.18.0.1","path_prefix":"/8443/","route_type":"idempotent",)"
-    R"("timeout_ms":1500,"target_latency_ms":100,"priority":2,"weighted_backends":[)"
-    R"({"backend":"a","weight":90},{"backend":"b","weight":10}],"max_attempts":2},)"
-    R"({"name":"r-2","hostname":"198.18.0.1","path_prefix":"/8080/","route_type":"non_idempotent",)"
-    R"("timeout_ms":2000,"target_latency_ms":120,"priority":1,"backend":"a","max_attempts":2}],)"
-    R"("services":[{"name":"a","max_connections":2000,"warmup_per_s":1.5},)"
-    R"({"name":"b","max_connections":2000}],"limits":{"idle_timeout_ms":15000}})";
-
-const char* const heartbeat_sample =
-    R"({"backend":"a","address":"10.128.0.9:8080","zone":"z","version":"v1","capacity_slots":2,)"
-    R"("state":"ready","warmup_left_ms":250,"seq":4,"born":1700000000000})";
-
 } // namespace
 
 std::vector<decoder_target> make_decoder_targets()
@@ -435,7 +390,10 @@
     return {
         {"packet_head", run_packet_head, packet_samples(), {}},
         {"packet_envelope", run_packet_envelope, packet_envelope_samples(), {}},
-        {"coap_envelope", run_coap_envelope, {coap_envelope_sample()}, {}},
+        {"coap_envelope",
+         run_coap_envelope,
+         {write_header<max_envelope_bytes>(fakes::make_envelope(), encode_envelope)},
+         {}},
         {"coap_message", run_coap_message, coap_samples(), {}},
         {"change", run_change, change_samples(), {}},
         {"state", run_state, {encode_state(state)}, {}},
@@ -446,8 +404,8 @@
           encode_record({6, 3, record_kind::members, "", {1, 2, 3}})},
          {}},
         {"snapshot", run_snapshot, {encode_snapshot({6, 3, {1, 2, 3}, encode_state(state)})}, {}},
-        {"configuration", run_configuration, {configuration_sample}, json_tokens},
-        {"heartbeat", run_heartbeat, {heartbeat_sample}, json_tokens},
+        {"configuration", run_configuration, {platform::good_configuration}, json_tokens},
+        {"heartbeat", run_heartbeat, {platform::good_heartbeat}, json_tokens},
     };
 }
 
--- a/tests/fuzz/fuzz_decoders.cpp
+++ b/tests/fuzz/fuzz_decoders.cpp
@@ -8,7 +8,6 @@
 #include <gflags/gflags.h>
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
@@ -106,7 +105,8 @@
     }
     const std::size_t known = pool.size();
     mutator inputs(FLAGS_seed);
-    std::array<std::uint64_t, 2> counts{};
+    std::uint64_t accepted = 0;
+    std::uint64_t refused = 0;
     const auto is_over = [began](std::uint64_t round)
     {
         if (FLAGS_seconds == 0)
@@ -129,14 +129,14 @@
             return false;
         }
         const bool is_accepted = result == outcome::accepted;
-        ++counts[is_accepted ? 1 : 0];
+        ++(is_accepted ? accepted : refused);
         if (is_accepted && pool.size() < known + most_found)
         {
             pool.push_back(bytes);
         }
     }
-    std::cout << target.name << ": " << counts[1] << " accepted, " << counts[0] << " refused\n";
-    return counts[0] != 0;
+    std::cout << target.name << ": " << accepted << " accepted, " << refused << " refused\n";
+    return refused != 0;
 }
 
 } // namespace
--- a/tests/unit/control_front_test.cpp
+++ b/tests/unit/control_front_test.cpp
@@ -15,11 +15,11 @@
 
 #include <sys/resource.h>
 
-#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <set>
 
 namespace carawayshelf
 {
@@ -190,6 +190,58 @@
     return answer;
 }
 
+/** Many balancers; each begins at one of some control instances by chance. */
+class daemon_fleet
+{
+public:
+    static constexpr std::size_t size = 16;
+
+    /** @param held  what they hold of an earlier connection */
+    daemon_fleet(boost::asio::io_context& io, const std::vector<endpoint>& instances,
+                 generation held)
+    {
+        for (std::size_t i = 0; i < size; ++i)
+        {
+            const auto report = [i, held]
+            {
+                daemon_report value;
+                value.name = "balancer-" + std::to_string(i);
+                value.held = held;
+                return value;
+            };
+            clients_.push_back(std::make_unique<control_client>(
+                io, instances, report,
+                [this](const table_update& update) { served_ += update.complete ? 1 : 0; }));
+            clients_.back()->set_confirmation_handler([this, i] { confirmed_.insert(i); });
+        }
+    }
+
+    void start()
+    {
+        for (const std::unique_ptr<control_client>& client : clients_)
+        {
+            client->start();
+        }
+    }
+
+    /** Whole tables that came. */
+    std::size_t served() const
+    {
+        return served_;
+    }
+
+    /** Daemons at an instance in touch with a leader. */
+    std::size_t confirmed() const
+    {
+        return confirmed_.size();
+    }
+
+private:
+    std::size_t served_ = 0;
+    std::set<std::size_t> confirmed_;
+    std::vector<std::unique_ptr<control_client>> clients_; ///< They call into the above.
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(control_front)
@@ -311,24 +363,10 @@
     lost.data_folder = all.folder + "/lost";
     control_server without_table(all.io, lost);
     BOOST_REQUIRE(!without_table.start());
-    constexpr std::size_t daemons = 16; // Each begins at one of the two by chance.
-    std::size_t served = 0;
-    std::vector<std::unique_ptr<control_client>> clients;
+    daemon_fleet fleet(all.io, {lost.address, all.all_settings[1].address}, 0);
     const time_point began = steady_now();
-    for (std::size_t i = 0; i < daemons; ++i)
-    {
-        const auto report = [i]
-        {
-            daemon_report value;
-            value.name = "balancer-" + std::to_string(i);
-            return value;
-        };
-        clients.push_back(std::make_unique<control_client>(
-            all.io, std::vector<endpoint>{lost.address, all.all_settings[1].address}, report,
-            [&served](const table_update& update) { served += update.complete ? 1 : 0; }));
-        clients.back()->start();
-    }
-    BOOST_TEST(all.run_until([&served] { return served >= daemons; }));
+    fleet.start();
+    BOOST_TEST(all.run_until([&fleet] { return fleet.served() >= daemon_fleet::size; }));
     BOOST_TEST((steady_now() - began < std::chrono::seconds(1)));
 }
 
@@ -351,28 +389,10 @@
     control_server alone(all.io, cut_off);
     const failure started = alone.start();
     BOOST_REQUIRE_MESSAGE(!started, started.detail);
-    constexpr std::size_t daemons = 16; // Each begins at one of the two by chance.
-    std::vector<bool> confirmed(daemons, false);
-    std::vector<std::unique_ptr<control_client>> clients;
+    daemon_fleet fleet(all.io, {cut_off.address, all.all_settings[1].address}, 1);
     const time_point began = steady_now();
-    for (std::size_t i = 0; i < daemons; ++i)
-    {
-        const auto report = [i]
-        {
-            daemon_report value;
-            value.name = "balancer-" + std::to_string(i);
-            value.held = 1; // Of an earlier connection.
-            return value;
-        };
-        clients.push_back(std::make_unique<control_client>(
-            all.io, std::vector<endpoint>{cut_off.address, all.all_settings[1].address}, report,
-            [](const table_update& /*update*/) {}));
-        clients.back()->set_confirmation_handler([&confirmed, i] { confirmed[i] = true; });
-        clients.back()->start();
-    }
-    BOOST_TEST(all.run_until(
-        [&confirmed]
-        { return std::find(confirmed.begin(), confirmed.end(), false) == confirmed.end(); }));
+    fleet.start();
+    BOOST_TEST(all.run_until([&fleet] { return fleet.confirmed() == daemon_fleet::size; }));
     BOOST_TEST((steady_now() - began < std::chrono::seconds(1)));
 }
 
--- a/tests/unit/flow_inquiries_test.cpp
+++ b/tests/unit/flow_inquiries_test.cpp
@@ -89,6 +89,16 @@
         }
     }
 
+    /** All that are asked answer at once, but for one. Returns whom the first agent asks. */
+    std::vector<endpoint> begin_without(const endpoint& missing, const packet_table& known)
+    {
+        std::vector<endpoint> asked = begin(known);
+        std::vector<endpoint> answering = asked;
+        answering.erase(std::find(answering.begin(), answering.end(), missing));
+        answer(answering, known.held());
+        return asked;
+    }
+
     cluster_state state;
     generation last = 0;
     std::map<std::uint32_t, member_id> ids;
@@ -122,10 +132,7 @@
 {
     inquiry_bench bench(30);
     const packet_table known = bench.table();
-    std::vector<endpoint> asked = bench.begin(known);
-    BOOST_TEST(asked.size() == 29U);
-    asked.erase(std::find(asked.begin(), asked.end(), agent_at(4)));
-    bench.answer(asked, known.held());
+    BOOST_TEST(bench.begin_without(agent_at(4), known).size() == 29U);
     const time_point end = start + flow_inquiries::lasts;
     BOOST_TEST(bench.inquiries.take_concluded(end - duration(1)).empty());
     BOOST_TEST(bench.inquiries.take_expired(end - duration(1)).empty());
@@ -138,10 +145,7 @@
     inquiry_bench bench(30);
     bench.set_state(4, member_state::silent);
     const packet_table known = bench.table();
-    std::vector<endpoint> asked = bench.begin(known);
-    BOOST_TEST(asked.size() == 29U);
-    asked.erase(std::find(asked.begin(), asked.end(), agent_at(4)));
-    bench.answer(asked, known.held());
+    BOOST_TEST(bench.begin_without(agent_at(4), known).size() == 29U);
     const time_point due = start + flow_inquiries::silent_answer_due;
     BOOST_TEST(bench.inquiries.take_concluded(due - duration(1)).empty());
     const std::vector<flow_inquiries::inquiry> concluded = bench.inquiries.take_concluded(due);
@@ -165,9 +169,7 @@
 {
     inquiry_bench bench(30);
     const packet_table older = bench.table();
-    std::vector<endpoint> asked = bench.begin(older);
-    asked.erase(std::find(asked.begin(), asked.end(), agent_at(4)));
-    bench.answer(asked, older.held());
+    bench.begin_without(agent_at(4), older);
     bench.set_state(4, member_state::silent);
     const packet_table newer = bench.table();
     const time_point marked = start + std::chrono::milliseconds(500);
@@ -185,9 +187,7 @@
     inquiry_bench bench(30);
     bench.set_state(4, member_state::silent);
     const packet_table older = bench.table();
-    std::vector<endpoint> asked = bench.begin(older);
-    asked.erase(std::find(asked.begin(), asked.end(), agent_at(4)));
-    bench.answer(asked, older.held());
+    bench.begin_without(agent_at(4), older);
     bench.set_state(4, member_state::warm);
     const packet_table newer = bench.table();
     bench.inquiries.take_table(start, newer, agent_at(1));
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -7,6 +7,8 @@
 #include "carawayshelf_wire/envelope.hpp"
 #include "carawayshelf_wire/frame_codec.hpp"
 #include "carawayshelf_wire/state_codec.hpp"
+#include "mutator.hpp"
+#include "wire_samples.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -19,6 +21,9 @@
 namespace
 {
 
+using fakes::make_envelope;
+using fakes::make_message;
+
 constexpr int fuzz_rounds = 20000;
 
 std::string random_bytes(std::mt19937& random, std::size_t most)
@@ -31,52 +36,6 @@
     return bytes;
 }
 
-/** A copy with a few bytes changed, or cut short. */
-std::string damage(std::mt19937& random, std::string bytes)
-{
-    for (std::uint32_t i = 0; i < 1 + random() % 4 && !bytes.empty(); ++i)
-    {
-        bytes[random() % bytes.size()] = static_cast<char>(random());
-    }
-    if (random() % 4 == 0)
-    {
-        bytes.resize(random() % (bytes.size() + 1));
-    }
-    return bytes;
-}
-
-envelope make_envelope()
-{
-    envelope value;
-    value.kind = envelope_kind::placed;
-    value.flow = {3, {0x7F000301, 40001}};
-    value.reply_to = {0x7F000201, 7101};
-    value.table_generation = 77;
-    value.row_generation = 76;
-    value.owner = {5, {0x7F000401, 7201}, 12};
-    value.earlier[0] = {4, {0x7F000402, 7201}, 0};
-    value.earlier_count = 1;
-    value.visits[0] = {4, 75};
-    value.visit_count = 1;
-    value.hops = 3;
-    value.sender_load = 19;
-    return value;
-}
-
-coap_message make_message()
-{
-    coap_message message;
-    message.code = coap_codes::post;
-    message.message_id = 4711;
-    message.token = "token";
-    message.add_uint(coap_options::deadline, 1500);
-    message.add_path("a/b");
-    message.add_option(coap_options::uri_query, "q=5");
-    message.add_option(coap_options::echo, std::string(16, 'e'));
-    message.payload = "payload";
-    return message;
-}
-
 /** A table of many members, as each daemon gets it after an outage. */
 frame make_table_frame(std::uint32_t members)
 {
@@ -142,6 +101,7 @@
 BOOST_AUTO_TEST_CASE(no_bytes_do_harm)
 {
     std::mt19937 random(20261204);
+    fuzz::mutator damaged(20261204);
     std::array<std::uint8_t, max_envelope_bytes> buffer{};
     const std::size_t size = encode_envelope(make_envelope(), buffer.data());
     const std::string good_envelope(buffer.begin(), buffer.begin() + static_cast<long>(size));
@@ -159,7 +119,7 @@
     {
         const bool is_random = round % 2 == 0;
         const std::string noise = random_bytes(random, 200);
-        const std::string envelope_bytes = is_random ? noise : damage(random, good_envelope);
+        const std::string envelope_bytes = is_random ? noise : damaged.next({good_envelope}, {});
         envelope header;
         std::size_t header_size = 0;
         const envelope_fault fault =
@@ -167,13 +127,13 @@
                             envelope_bytes.size(), header, header_size);
         accepted += fault == envelope_fault::none ? 1 : 0;
         const std::optional<coap_message> message =
-            parse_coap(is_random ? noise : damage(random, good_message));
+            parse_coap(is_random ? noise : damaged.next({good_message}, {}));
         accepted += message && parse_coap(encode_coap(*message)) ? 1 : 0;
         frame read;
-        accepted += decode_frame(is_random ? noise : damage(random, good_frame), read) ? 0 : 1;
-        accepted += decode_change(is_random ? noise : damage(random, good_change)) ? 1 : 0;
+        accepted += decode_frame(is_random ? noise : damaged.next({good_frame}, {}), read) ? 0 : 1;
+        accepted += decode_change(is_random ? noise : damaged.next({good_change}, {})) ? 1 : 0;
         std::string answer;
-        desk.handle(is_random ? noise : damage(random, good_message), answer);
+        desk.handle(is_random ? noise : damaged.next({good_message}, {}), answer);
     }
     BOOST_TEST(accepted > 0U);
 }
@@ -194,11 +154,12 @@
 BOOST_AUTO_TEST_CASE(damaged_and_inflating_frames_are_refused)
 {
     const std::string good = encode_frame(make_table_frame(500)).substr(frame_prefix_bytes);
-    std::mt19937 random(20261205);
+    fuzz::mutator damaged(20261205);
     for (int round = 0; round < 2000; ++round)
     {
         frame read;
-        static_cast<void>(decode_frame(damage(random, good), read)); // Must neither end nor hang.
+        static_cast<void>(
+            decode_frame(damaged.next({good}, {}), read)); // Must neither end nor hang.
     }
     // A few bytes that claim to be many.
     const std::string zeros(std::size_t{16} * 1024 * 1024, '\0');
