--- a/review/standins/packets.hpp
+++ b/review/standins/packets.hpp
@@ -207,6 +207,19 @@
         is_recorded_ = is_recorded;
     }
 
+    // Processes that many requests concurrently and queues the others, instead of one after the
+    // other; call before start().
+    void set_slots(std::size_t count)
+    {
+        slots_ = count;
+    }
+
+    // From now on the server is silent: it answers nothing and sends no heartbeats.
+    void fall_silent()
+    {
+        is_silent_ = true;
+    }
+
     // Limits the number of flows that the server holds; call before start().
     void set_max_connections(std::size_t count)
     {
@@ -255,15 +268,58 @@
         std::string last_answer;
     };
 
+    // A request in progress or queued.
+    struct job
+    {
+        std::pair<std::uint64_t, std::uint64_t> flow;
+        packet answer;
+        double done_at = 0;
+    };
+
     void serve()
     {
         while (!is_stopping_)
         {
             packet item;
-            if (receive_udp(fd_, 0.05, item))
+            const bool has_packet = receive_udp(fd_, running_.empty() ? 0.05 : 0.001, item);
+            if (is_silent_)
+            {
+                continue;
+            }
+            if (has_packet)
             {
                 handle(item);
             }
+            finish_jobs();
+        }
+    }
+
+    void finish_jobs()
+    {
+        for (std::size_t i = 0; i < running_.size();)
+        {
+            if (seconds() < running_[i].done_at)
+            {
+                ++i;
+                continue;
+            }
+            const auto found = flows_.find(running_[i].flow);
+            if (found != flows_.end() && !found->second.has_ended)
+            {
+                packet& out = running_[i].answer;
+                out.seq = found->second.next_seq;
+                out.ack = found->second.expected;
+                found->second.next_seq += static_cast<std::uint32_t>(out.data.size());
+                found->second.last_answer = encode(out);
+                reply(out);
+            }
+            running_.erase(running_.begin() + static_cast<std::ptrdiff_t>(i));
+        }
+        while (!waiting_.empty() && running_.size() < slots_)
+        {
+            running_.push_back(waiting_.front());
+            waiting_.pop_front();
+            running_.back().done_at = seconds() + work_s_;
         }
     }
 
@@ -359,6 +415,15 @@
             {
                 record.line("run    %s runs \"%s\"", id_.c_str(), item.data.c_str());
             }
+            if (slots_ != 0)
+            {
+                out.ack = known.expected;
+                out.seq = known.next_seq;
+                reply(out); // Acknowledges the request; its answer comes later.
+                out.data = "200 " + id_ + " " + item.data;
+                waiting_.push_back({key, out, 0});
+                return;
+            }
             if (work_s_ > 0)
             {
                 sleep_s(work_s_);
@@ -390,7 +455,7 @@
     void beat()
     {
         std::uint64_t sequence = 0;
-        while (!is_stopping_)
+        while (!is_stopping_ && !is_silent_)
         {
             const std::string body =
                 "{\"backend\":\"" + service_ + "\",\"address\":\"" + side_.ip + ":" +
@@ -417,9 +482,13 @@
     std::uint64_t born_;
     int fd_ = -1;
     std::atomic<bool> is_stopping_{false};
+    std::atomic<bool> is_silent_{false};
     std::atomic<bool> is_acknowledged_{false};
     std::atomic<double> acknowledged_at_{0};
     double work_s_ = 0.01;
+    std::size_t slots_ = 0;
+    std::vector<job> running_;
+    std::deque<job> waiting_;
     bool is_recorded_ = true;
     std::size_t max_connections_ = 2000;
     std::size_t held_flows_ = 0;
