--- a/review/standins/core_replaced.cpp
+++ b/review/standins/core_replaced.cpp
@@ -12,7 +12,7 @@
     constexpr double recovery_s = 12.0;
     constexpr double read_back_s = 6.0; // At least stable_window_ms.
 
-    deployment site(folder);
+    deployment site("127.61");
     const std::vector<machine> cores = {{"core-a", "cuyo-a", "127.61.1.1"},
                                         {"core-b", "cuyo-b", "127.61.1.2"},
                                         {"core-c", "cuyo-c", "127.61.1.3"}};
--- a/review/standins/foreign_heartbeat.cpp
+++ b/review/standins/foreign_heartbeat.cpp
@@ -9,7 +9,7 @@
 {
     const std::string folder = count > 1 ? arguments[1] : ".";
     record.open(folder + "/record.txt");
-    deployment site(folder);
+    deployment site("127.62");
     const port_set ports = site.ports();
     const std::vector<machine> cores = {{"core-a", "cuyo-a", "127.62.1.1"},
                                         {"core-b", "cuyo-b", "127.62.1.2"},
--- a/review/standins/full_servers.cpp
+++ b/review/standins/full_servers.cpp
@@ -266,7 +266,7 @@
     record.open(folder + "/record.txt");
     constexpr int usual_flows = 2400;
     constexpr double burst = 1.7;
-    deployment site(folder);
+    deployment site("127.65");
     const port_set ports = site.ports();
     const std::vector<machine> cores = {{"core-a", "cuyo-a", "127.65.1.1"},
                                         {"core-b", "cuyo-b", "127.65.1.2"},
--- a/review/standins/harness.hpp
+++ b/review/standins/harness.hpp
@@ -130,7 +130,7 @@
     return text;
 }
 
-// Ports that are the same on all addresses, as on the platform. Chosen free on the whole loopback.
+// Ports that are the same on all addresses, as on the platform.
 struct port_set
 {
     int datagram = 0;
@@ -142,20 +142,36 @@
     int metrics = 0;
 };
 
-inline int find_free_port()
+inline bool is_free(const std::string& host, int port)
+{
+    const sockaddr_in address = to_sockaddr(host, port);
+    const int tcp = socket(AF_INET, SOCK_STREAM, 0);
+    const int udp = socket(AF_INET, SOCK_DGRAM, 0);
+    const bool is_bound =
+        bind(tcp, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0 &&
+        bind(udp, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+    close(tcp);
+    close(udp);
+    return is_bound;
+}
+
+// A port that is free on the loopback addresses that a case uses: NETWORK.1.x for the core, .2.x
+// for the edge, .4.x beside servers, .7.x for clients.
+inline int find_free_port(const std::string& network)
 {
     static int next = 20000 + static_cast<int>(getpid() % 900) * 10;
     for (int tries = 0; tries < 2000; ++tries)
     {
         next = next >= 29990 ? 20000 : next + 1;
-        const int tcp = socket(AF_INET, SOCK_STREAM, 0);
-        const int udp = socket(AF_INET, SOCK_DGRAM, 0);
-        sockaddr_in any = to_sockaddr("0.0.0.0", next);
-        const bool is_free = bind(tcp, reinterpret_cast<sockaddr*>(&any), sizeof(any)) == 0 &&
-                             bind(udp, reinterpret_cast<sockaddr*>(&any), sizeof(any)) == 0;
-        close(tcp);
-        close(udp);
-        if (is_free)
+        bool is_free_everywhere = true;
+        for (const char* group : {".1.", ".2.", ".4.", ".7."})
+        {
+            for (int i = 1; i <= 6 && is_free_everywhere; ++i)
+            {
+                is_free_everywhere = is_free(network + group + std::to_string(i), next);
+            }
+        }
+        if (is_free_everywhere)
         {
             return next;
         }
@@ -163,10 +179,11 @@
     return 0;
 }
 
-inline port_set find_ports()
+inline port_set find_ports(const std::string& network)
 {
-    return {find_free_port(), find_free_port(), find_free_port(), find_free_port(),
-            find_free_port(), find_free_port(), find_free_port()};
+    return {find_free_port(network), find_free_port(network), find_free_port(network),
+            find_free_port(network), find_free_port(network), find_free_port(network),
+            find_free_port(network)};
 }
 
 // ---- processes ----
@@ -189,11 +206,15 @@
             arguments.push_back(const_cast<char*>(word.c_str()));
         }
         arguments.push_back(nullptr);
+        const std::lock_guard<std::recursive_mutex> guard(lock_);
         const pid_t parent = getpid();
         const pid_t pid = fork();
         if (pid == 0)
         {
             prctl(PR_SET_PDEATHSIG, SIGKILL);
+            sigset_t none;
+            sigemptyset(&none);
+            sigprocmask(SIG_SETMASK, &none, nullptr);
             if (getppid() != parent)
             {
                 _exit(127);
@@ -215,6 +236,7 @@
 
     void send(const std::string& name, int signal_number)
     {
+        const std::lock_guard<std::recursive_mutex> guard(lock_);
         const auto found = pids_.find(name);
         if (found != pids_.end())
         {
@@ -225,6 +247,7 @@
     // Kills a process and waits for its end.
     void kill_hard(const std::string& name)
     {
+        const std::lock_guard<std::recursive_mutex> guard(lock_);
         const auto found = pids_.find(name);
         if (found == pids_.end())
         {
@@ -239,6 +262,7 @@
     // Whether a process has ended by itself; its status is then in `status`.
     bool has_ended(const std::string& name, int& status)
     {
+        const std::lock_guard<std::recursive_mutex> guard(lock_);
         const auto found = pids_.find(name);
         if (found == pids_.end())
         {
@@ -254,6 +278,7 @@
 
     void end_all()
     {
+        const std::lock_guard<std::recursive_mutex> guard(lock_);
         for (const auto& [name, pid] : pids_)
         {
             ::kill(pid, SIGCONT);
@@ -265,6 +290,7 @@
 
 private:
     std::map<std::string, pid_t> pids_;
+    std::recursive_mutex lock_;
 };
 
 // ---- HTTP ----
@@ -438,9 +464,27 @@
 class deployment
 {
 public:
-    explicit deployment(std::string record_folder)
-        : folder_(make_folder()), record_folder_(std::move(record_folder)), ports_(find_ports())
-    {
+    // @param network  first two numbers of the loopback addresses of this case
+    explicit deployment(const std::string& network)
+        : folder_(make_folder()), ports_(find_ports(network))
+    {
+        // A driver that is interrupted ends its processes and removes its folder.
+        sigset_t ends;
+        sigemptyset(&ends);
+        sigaddset(&ends, SIGTERM);
+        sigaddset(&ends, SIGINT);
+        sigprocmask(SIG_BLOCK, &ends, nullptr);
+        std::thread(
+            [this, ends]
+            {
+                int received = 0;
+                sigwait(&ends, &received);
+                processes_.end_all();
+                std::error_code ignored;
+                std::filesystem::remove_all(folder_, ignored);
+                _exit(2);
+            })
+            .detach();
     }
 
     ~deployment()
@@ -578,7 +622,6 @@
     }
 
     std::string folder_;
-    std::string record_folder_;
     port_set ports_;
     process_set processes_;
 };
--- a/review/standins/late_order.cpp
+++ b/review/standins/late_order.cpp
@@ -14,7 +14,7 @@
     constexpr double evacuate_s = 5.0;
     constexpr double max_stretch_s = 12.0;
     constexpr double freeze_s = 6.0;
-    deployment site(folder);
+    deployment site("127.64");
     const port_set ports = site.ports();
     const std::vector<machine> cores = {{"core-a", "cuyo-a", "127.64.1.1"},
                                         {"core-b", "cuyo-b", "127.64.1.2"},
--- a/review/standins/late_refusal.cpp
+++ b/review/standins/late_refusal.cpp
@@ -248,7 +248,7 @@
     constexpr int pulse = 24;
     constexpr double burst = 1.7;
     constexpr double work_s = 0.015;
-    deployment site(folder);
+    deployment site("127.66");
     const port_set ports = site.ports();
     const std::vector<machine> cores = {{"core-a", "cuyo-a", "127.66.1.1"},
                                         {"core-b", "cuyo-b", "127.66.1.2"},
--- a/review/standins/nested_configuration.cpp
+++ b/review/standins/nested_configuration.cpp
@@ -11,7 +11,7 @@
     record.open(folder + "/record.txt");
     constexpr int depth = 100000;
     constexpr double restart_delay_s = 0.5;
-    deployment site(folder);
+    deployment site("127.63");
     const std::vector<machine> cores = {{"core-a", "cuyo-a", "127.63.1.1"},
                                         {"core-b", "cuyo-b", "127.63.1.2"},
                                         {"core-c", "cuyo-c", "127.63.1.3"}};
