Refuse opening packets at max_flows instead of queueing them without end

What callers saw: once a server held all its connections, its agent used a whole processor.

Cause: packet_agent::admit_queued() passed each packet that it took from the queue to decide_opening(), which queues a packet if the server is full. At max_flows with a free slot, the same packet came and went without end: the loop's condition looks at the slots only, and its time stands still.

Fix: admit_queued() admits or refuses a packet and never queues it again, so each turn shortens the queue. max_flows is a reason of its own in counters and logs. An opening packet that finds no free connection is refused at once, since nobody knows when a flow will end. A member without free connections is the last choice among full members; with idle slots it looked least loaded.

--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -19,6 +19,10 @@
     load. */
 constexpr std::uint32_t failing_server_load = 10000;
 
+/** Added to the load of a backend server that holds the maximum number of flows. It comes after a
+    failing one, which can still admit the flow. */
+constexpr std::uint32_t max_flows_load = 20000;
+
 } // namespace
 
 packet_agent::packet_agent(const options& agent_options, const packet_format& format,
@@ -215,7 +219,8 @@
     {
         admit_flow(now, envelope, packet);
     }
-    else if (refusal == forward_reason::full || refusal == forward_reason::failing)
+    else if (refusal == forward_reason::full || refusal == forward_reason::max_flows ||
+             refusal == forward_reason::failing)
     {
         forward_or_queue(now, envelope, route, packet, refusal);
     }
@@ -248,7 +253,11 @@
     {
         return forward_reason::not_settled;
     }
-    if (!has_capacity(envelope))
+    if (holds_max_flows())
+    {
+        return forward_reason::max_flows;
+    }
+    if (!has_free_slot(envelope))
     {
         return forward_reason::full;
     }
@@ -264,13 +273,14 @@
     return forward_reason::none;
 }
 
-bool packet_agent::has_capacity(const packet_envelope& envelope) const
+bool packet_agent::holds_max_flows() const
 {
     const std::uint32_t max_flows = table_->max_flows(server_.service);
-    if (max_flows != 0 && flows_.size() >= max_flows)
-    {
-        return false;
-    }
+    return max_flows != 0 && flows_.size() >= max_flows;
+}
+
+bool packet_agent::has_free_slot(const packet_envelope& envelope) const
+{
     const bool is_last_candidate = (envelope.flags & opening_flag_last_candidate) != 0;
     return requests_in_flight_ < server_.slots + (is_last_candidate ? options_.requests_ahead : 0);
 }
@@ -300,9 +310,10 @@
 }
 
 /** Load by which the least loaded member is chosen to queue an opening packet if all are full. */
-std::uint32_t packet_agent::comparison_load() const
+std::uint32_t packet_agent::comparison_load(forward_reason reason) const
 {
-    return load() + (failure_detector_.is_failing() ? failing_server_load : 0);
+    return load() + (failure_detector_.is_failing() ? failing_server_load : 0) +
+           (reason == forward_reason::max_flows ? max_flows_load : 0);
 }
 
 void packet_agent::forward_or_queue(time_point now, packet_envelope envelope,
@@ -311,17 +322,19 @@
 {
     if ((envelope.flags & opening_flag_last_candidate) != 0)
     {
-        if (!queue_opening(now, envelope, route, packet))
+        // When a flow will end is not known, so a packet that needs another flow to end first is
+        // refused at once.
+        if (reason == forward_reason::max_flows || !queue_opening(now, envelope, route, packet))
         {
             refuse(now, envelope, packet.header);
         }
         return;
     }
     const bool is_first = (envelope.flags & opening_least_loaded_mask) == 0;
-    if (is_first || comparison_load() < envelope.load)
+    const std::uint32_t own_load = comparison_load(reason);
+    if (is_first || own_load < envelope.load)
     {
-        envelope.load =
-            static_cast<std::uint16_t>(std::min<std::uint32_t>(comparison_load(), UINT16_MAX));
+        envelope.load = static_cast<std::uint16_t>(std::min<std::uint32_t>(own_load, UINT16_MAX));
         envelope.flags = static_cast<std::uint8_t>((envelope.flags & ~opening_least_loaded_mask) |
                                                    (envelope.position + 1U));
     }
@@ -384,7 +397,17 @@
             reset_flow(packet_reset::no_route, next.envelope, packet.header);
             continue;
         }
-        decide_opening(now, next.envelope, *route, packet);
+        // A packet taken from the queue never returns to it: that would repeat this loop forever.
+        const forward_reason refusal =
+            check_admission(now, next.envelope, *route, packet.header.destination);
+        if (refusal == forward_reason::none)
+        {
+            admit_flow(now, next.envelope, packet);
+        }
+        else
+        {
+            forward(now, next.envelope, *route, packet, refusal);
+        }
         port_.flush();
     }
 }
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -163,10 +163,11 @@
                         const client_packet& packet);
     forward_reason check_admission(time_point now, const packet_envelope& envelope,
                                    const packet_route& route, const endpoint& address);
-    bool has_capacity(const packet_envelope& envelope) const;
+    bool holds_max_flows() const;
+    bool has_free_slot(const packet_envelope& envelope) const;
     bool is_excluded_as_failing(time_point now, const packet_envelope& envelope,
                                 const packet_route& route);
-    std::uint32_t comparison_load() const;
+    std::uint32_t comparison_load(forward_reason reason) const;
     bool is_settled(time_point now, const endpoint& address) const;
     bool is_cold(time_point now) const;
     bool is_server_known(time_point now) const;
--- a/modules/carawayshelf_packets/packet_counters.hpp
+++ b/modules/carawayshelf_packets/packet_counters.hpp
@@ -51,14 +51,15 @@
     domain_out,
     not_settled, ///< Other agents may not know yet that it admits flows of the route.
     cold,        ///< Its backend server is cold and gets no more flows now.
-    full,        ///< Its backend server has no free slot, or holds the maximum number of flows.
+    full,        ///< Its backend server has no free slot.
+    max_flows,   ///< Its backend server holds the maximum number of flows.
     failing,     ///< Its backend server seems to fail its requests.
     not_here     ///< The backend server returned the packet.
 };
 
-inline constexpr name_table<forward_reason, 10> forward_reason_names{
+inline constexpr name_table<forward_reason, 11> forward_reason_names{
     {"none", "wrong_service", "no_server", "draining", "domain_out", "not_settled", "cold", "full",
-     "failing", "not_here"}};
+     "max_flows", "failing", "not_here"}};
 
 /** Counters of a packet balancer or a packet agent. Thread-safe. */
 struct packet_counters
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <set>
+#include <stdexcept>
 
 namespace carawayshelf::fakes
 {
@@ -20,6 +21,9 @@
 const endpoint address{0xC6120001, 443};
 const endpoint client{0x64400001, 2000};
 
+/** More envelopes than any test needs: ends a test in which the agent doesn't return. */
+constexpr std::size_t max_recorded_envelopes = 100000;
+
 struct sent_envelope
 {
     endpoint to;
@@ -36,6 +40,10 @@
             [this](const endpoint& to, const packet_envelope& envelope, const std::string& packet)
         {
             envelopes.push_back({to, envelope, packet});
+            if (envelopes.size() > max_recorded_envelopes)
+            {
+                throw std::runtime_error("the agent sends envelopes without end");
+            }
         };
         port.on_client_packet = [this](const std::string& packet)
         {
@@ -57,7 +65,7 @@
     {
         traffic_configuration configuration;
         configuration.version = ++version;
-        configuration.services = {{"ordering", 0, cold_rate}, {"catalogue", 0, 0.0}};
+        configuration.services = {{"ordering", max_flows, cold_rate}, {"catalogue", 0, 0.0}};
         traffic_route route;
         route.name = "orders";
         route.address = address;
@@ -198,6 +206,7 @@
     generation last_generation = 0;
     std::uint64_t version = 0;
     std::uint32_t timeout_ms = 500;
+    std::uint32_t max_flows = 0; ///< Of the service "ordering"; 0: no limit.
     std::uint64_t announcements = 0;
     subscriber_table table;
     std::shared_ptr<const packet_table> traffic_table = std::make_shared<const packet_table>();
@@ -621,6 +630,65 @@
     BOOST_TEST(fixture.was_reset());
 }
 
+/** An agent whose server held its maximum of flows put a queued opening packet back into the queue
+    without end, and answered no flow any more. */
+BOOST_AUTO_TEST_CASE(a_queued_opening_packet_is_refused_once_the_server_holds_max_flows)
+{
+    agent_fixture fixture;
+    fixture.max_flows = 5;
+    fixture.start();
+    for (std::uint16_t i = 0; i < 6; ++i)
+    {
+        fixture.open(static_cast<std::uint16_t>(2000 + i), opening_flag_last_candidate);
+    }
+    BOOST_TEST(fixture.to_server.size() == 4U); // Two slots, and two requests ahead.
+    fixture.answer(2000);
+    BOOST_TEST(fixture.to_server.size() == 5U);
+    BOOST_TEST(!fixture.was_reset());
+    fixture.answer(2001);
+    BOOST_TEST(fixture.to_server.size() == 5U);
+    BOOST_REQUIRE(fixture.was_reset());
+    BOOST_TEST(test_packets::read(fixture.to_client.back()).header.destination.port == 2005U);
+    BOOST_TEST(fixture.core->load() == 3U);
+}
+
+/** The end of a flow can't be predicted, so the opening packet must not wait for it. */
+BOOST_AUTO_TEST_CASE(an_opening_packet_is_refused_at_once_if_the_server_holds_max_flows)
+{
+    agent_fixture fixture;
+    fixture.max_flows = 1;
+    fixture.start();
+    fixture.open(2000, opening_flag_last_candidate);
+    fixture.answer(2000);
+    fixture.open(2001, opening_flag_last_candidate);
+    BOOST_REQUIRE(fixture.was_reset());
+    BOOST_TEST(test_packets::read(fixture.to_client.back()).header.destination.port == 2001U);
+    BOOST_TEST(fixture.to_server.size() == 1U);
+}
+
+/** A server without room for another flow has idle slots, so it looked least loaded and refused
+    opening packets that a busier server could have queued. */
+BOOST_AUTO_TEST_CASE(an_opening_packet_goes_to_a_busier_member_if_the_server_holds_max_flows)
+{
+    agent_fixture fixture;
+    fixture.max_flows = 1;
+    fixture.start();
+    fixture.open(2000);
+    fixture.answer(2000);
+    packet_envelope envelope;
+    envelope.balancer = balancer_data;
+    envelope.add_candidate(other_data);
+    envelope.add_candidate(own_data);
+    envelope.position = 1;
+    envelope.flags = 1; // The least loaded member so far is the first candidate.
+    envelope.load = 50;
+    std::string bytes = test_packets::encode(fixture.packet_of(2001, true));
+    fixture.core->handle_envelope(fixture.now, envelope, bytes.data(), bytes.size());
+    BOOST_TEST(!fixture.was_reset());
+    BOOST_TEST((fixture.envelopes.back().to == other_data));
+    BOOST_TEST((fixture.envelopes.back().envelope.flags & opening_flag_last_candidate) != 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_retransmission_that_is_too_late_is_refused_at_once)
 {
     agent_fixture fixture;
