Remove a lost voter early once its successor votes

Cause: with the successor there were four voters, and the lost one stayed a voter until it had been silent for 6 s. After the second loss, two of four voters remained: no majority, hence no leader, and only a leader can change the voters.

Fix: while there are more voters than have answered at the same time (less one if that is even, and at least three), a silent one is removed after 1 s. Without a surplus the 6 s stay, so that a split of five instances removes none. An instance becomes a voter only while it answers: a removed one still has its match index. The log names the proposed voters.

--- a/modules/carawayshelf_consensus/consensus_core.cpp
+++ b/modules/carawayshelf_consensus/consensus_core.cpp
@@ -65,6 +65,11 @@
     return found == followers_.end() ? 0 : found->second.match_index;
 }
 
+bool consensus_core::is_live(time_point now, instance_id follower) const
+{
+    return is_heard_within(now, follower, settings_.election_timeout);
+}
+
 std::vector<instance_id> consensus_core::live_voters(time_point now) const
 {
     return voters_heard_within(now, settings_.election_timeout);
@@ -75,14 +80,18 @@
     return voters_heard_within(now, settings_.heartbeat_interval * 2);
 }
 
+bool consensus_core::is_heard_within(time_point now, instance_id follower, duration span) const
+{
+    const auto found = followers_.find(follower);
+    return found != followers_.end() && now - found->second.heard_at < span;
+}
+
 std::vector<instance_id> consensus_core::voters_heard_within(time_point now, duration span) const
 {
     std::vector<instance_id> live;
     for (const instance_id voter : log_.voters())
     {
-        const auto found = followers_.find(voter);
-        if (voter == identity_ ||
-            (found != followers_.end() && now - found->second.heard_at < span))
+        if (voter == identity_ || is_heard_within(now, voter, span))
         {
             live.push_back(voter);
         }
--- a/modules/carawayshelf_consensus/consensus_core.hpp
+++ b/modules/carawayshelf_consensus/consensus_core.hpp
@@ -172,6 +172,10 @@
         unknown. Valid only on the leader. */
     log_index match_index_of(instance_id follower) const;
 
+    /** Whether this instance heard from a follower or learner within the election timeout. Valid
+        only on the leader. */
+    bool is_live(time_point now, instance_id follower) const;
+
     /** Returns the voters heard from within the election timeout, including this instance. Valid
         only on the leader. */
     std::vector<instance_id> live_voters(time_point now) const;
@@ -203,6 +207,7 @@
     void start_pre_vote(time_point now);
     void start_election(time_point now);
     void become_leader(time_point now);
+    bool is_heard_within(time_point now, instance_id follower, duration span) const;
     std::vector<instance_id> voters_heard_within(time_point now, duration span) const;
     void broadcast_append(time_point now);
     void send_append(time_point now, instance_id to, follower_progress& progress);
--- a/modules/carawayshelf_consensus/membership_manager.cpp
+++ b/modules/carawayshelf_consensus/membership_manager.cpp
@@ -17,6 +17,9 @@
     restart changes no voters. */
 constexpr duration lost_voter_timeout = std::chrono::seconds(6);
 
+/** The same while there are more voters than the cluster needs. */
+constexpr duration surplus_voter_timeout = std::chrono::seconds(1);
+
 /** Voters that must remain when lost ones are removed; three tolerate the loss of one. */
 constexpr std::size_t min_voters = 3;
 
@@ -74,8 +77,11 @@
 {
     if (core.role() != consensus_role::leader)
     {
+        lost_since_.clear();
+        full_size_ = 0;
         return false;
     }
+    note_full_size(now, core);
     const std::vector<instance_id> voters = core.log().voters();
     for (const instance_id voter : voters)
     {
@@ -94,7 +100,9 @@
         }
         core.add_learner(identity);
         const log_index match = core.match_index_of(identity);
-        if (match != 0 && match + max_caught_up_lag >= core.commit_index())
+        // A removed voter still has its match index, although it may be gone.
+        if (match != 0 && match + max_caught_up_lag >= core.commit_index() &&
+            core.is_live(now, identity))
         {
             std::vector<instance_id> extended = voters;
             extended.push_back(identity);
@@ -114,8 +122,16 @@
     return all;
 }
 
+void membership_manager::note_full_size(time_point now, const consensus_core& core)
+{
+    // A new leader doesn't know which voters answered before, and takes all of them.
+    const std::size_t answering =
+        full_size_ == 0 ? core.log().voters().size() : core.live_voters(now).size();
+    full_size_ = std::max(full_size_, answering);
+}
+
 bool membership_manager::is_lost_voter(time_point now, const consensus_core& core,
-                                       instance_id voter)
+                                       instance_id voter, duration timeout)
 {
     const std::vector<instance_id> live = core.live_voters(now);
     if (contains(live, voter))
@@ -123,17 +139,21 @@
         lost_since_.erase(voter);
         return false;
     }
-    return now - lost_since_.emplace(voter, now).first->second >= lost_voter_timeout;
+    return now - lost_since_.emplace(voter, now).first->second >= timeout;
 }
 
 bool membership_manager::remove_lost_voter(time_point now, consensus_core& core)
 {
     const std::vector<instance_id> voters = core.log().voters();
+    // An even number of voters tolerates no more losses than one voter less.
+    const std::size_t needed = full_size_ % 2 == 0 ? full_size_ - 1 : full_size_;
+    const bool has_surplus = voters.size() > std::max(min_voters, needed);
+    const duration timeout = has_surplus ? surplus_voter_timeout : lost_voter_timeout;
     instance_id lost = 0;
     std::size_t lost_count = 0;
     for (const instance_id voter : voters)
     {
-        if (is_lost_voter(now, core, voter))
+        if (is_lost_voter(now, core, voter, timeout))
         {
             lost = voter;
             ++lost_count;
--- a/modules/carawayshelf_consensus/membership_manager.hpp
+++ b/modules/carawayshelf_consensus/membership_manager.hpp
@@ -30,6 +30,11 @@
     remaining instance to answer. The replacement receives the log as a learner meanwhile, and
     becomes a voter once it has caught up. So no majority ever depends on what a lost disk held.
 
+    If instances discover each other, a voter that stays silent is removed as well, as long as three
+    remain. One whose successor in another slot votes already is removed early: it counts towards
+    the majority without contributing to it, so that no other instance could be lost meanwhile. The
+    others stay longer, because fewer voters hold each record in fewer places.
+
     Not thread-safe. Performs no I/O.
 */
 class membership_manager
@@ -62,10 +67,14 @@
     instance_id identity_of(instance_slot slot) const;
 
 private:
-    bool is_lost_voter(time_point now, const consensus_core& core, instance_id voter);
+    void note_full_size(time_point now, const consensus_core& core);
+    bool is_lost_voter(time_point now, const consensus_core& core, instance_id voter,
+                       duration timeout);
     bool remove_lost_voter(time_point now, consensus_core& core);
 
     std::size_t expected_instances_;
+    std::size_t full_size_ = 0; ///< Largest number of voters that answered at the same time since
+                                ///< this instance leads; zero if it doesn't lead.
     std::map<instance_id, time_point> lost_since_; ///< When each silent voter was first missed.
     std::map<instance_slot, instance_id> identities_;
 };
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -668,7 +668,7 @@
         }
         if (membership_.propose_next_change(instant, *core_))
         {
-            log_info("proposed a membership change of the control instances");
+            log_info("proposed new voters: control instances " + join_slots(core_->log().voters()));
         }
     }
     else if (const connection_pointer leader =
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace carawayshelf
@@ -80,6 +81,48 @@
         }
     }
 
+    /** Starts an instance with an empty data folder. */
+    void start_new(instance_id identity)
+    {
+        stored_state stored;
+        stored.identity = identity;
+        cores.emplace(identity, consensus_core(consensus_settings{}, stored, identity, now));
+    }
+
+    /** Lets the first instance become the leader. */
+    void elect_first(const std::vector<instance_id>& alive)
+    {
+        now += std::chrono::milliseconds(70);
+        cores.at(first_identity(1)).tick(now);
+        process_output(first_identity(1));
+        deliver_all(alive);
+    }
+
+    /** Runs the instances that are alive, and the membership manager of the leader, as
+        control_server does. */
+    void run(duration span, const std::vector<instance_id>& alive, membership_manager& manager)
+    {
+        constexpr duration tick_interval = std::chrono::milliseconds(10);
+        constexpr int ticks_per_proposal = 25;
+        const time_point end = now + span;
+        for (int tick = 1; now < end; ++tick)
+        {
+            now += tick_interval;
+            for (const instance_id instance : alive)
+            {
+                cores.at(instance).tick(now);
+                process_output(instance);
+            }
+            deliver_all(alive);
+            if (tick % ticks_per_proposal == 0)
+            {
+                manager.propose_next_change(now, cores.at(first_identity(1)));
+                process_output(first_identity(1));
+                deliver_all(alive);
+            }
+        }
+    }
+
     time_point now{std::chrono::seconds(100)};
     std::map<instance_id, consensus_core> cores;
     std::vector<message> in_flight;
@@ -172,10 +215,7 @@
     test_cluster cluster(5);
     const instance_id leader = first_identity(1);
     const std::vector<instance_id> remaining = {leader, first_identity(2), first_identity(3)};
-    cluster.now += std::chrono::milliseconds(70);
-    cluster.cores.at(leader).tick(cluster.now);
-    cluster.process_output(leader);
-    cluster.deliver_all(remaining);
+    cluster.elect_first(remaining);
     BOOST_REQUIRE((cluster.cores.at(leader).role() == consensus_role::leader));
     membership_manager manager(0);
     const instance_id fourth = make_identity(4, 77);
@@ -196,6 +236,120 @@
     BOOST_TEST(!manager.propose_next_change(cluster.now, cluster.cores.at(leader)));
 }
 
+/** A lost instance that was replaced by one in another slot stayed a voter for 6 s. When another
+    one lost its disk meanwhile, the two that remained were no majority of four for good. */
+BOOST_AUTO_TEST_CASE(another_instance_can_be_lost_once_the_successor_of_a_lost_one_has_caught_up)
+{
+    constexpr duration catch_up_time = std::chrono::seconds(4);
+    for (const duration start_after : {duration(0), duration(std::chrono::seconds(1))})
+    {
+        test_cluster cluster(3);
+        const instance_id leader = first_identity(1);
+        const instance_id second = first_identity(2);
+        const instance_id lost = first_identity(3);
+        const instance_id successor = make_identity(4, 77);
+        membership_manager manager(0);
+        for (const instance_id known : {leader, second, lost})
+        {
+            manager.set_identity(slot_of(known), known);
+        }
+        cluster.elect_first({leader, second, lost});
+        BOOST_REQUIRE((cluster.cores.at(leader).role() == consensus_role::leader));
+        cluster.run(std::chrono::seconds(1), {leader, second, lost}, manager);
+        manager.clear_identity(slot_of(lost));
+        cluster.run(start_after, {leader, second}, manager);
+        cluster.start_new(successor);
+        manager.set_identity(slot_of(successor), successor);
+        cluster.run(catch_up_time, {leader, second, successor}, manager);
+        const std::vector<instance_id> expected = {leader, second, successor};
+        BOOST_TEST(cluster.cores.at(leader).log().voters() == expected);
+        BOOST_TEST(manager.is_safe_to_lose_one(cluster.now, cluster.cores.at(leader)));
+        // The second one loses its disk.
+        const std::optional<log_index> index =
+            cluster.cores.at(leader).propose(cluster.now, "a change");
+        cluster.process_output(leader);
+        cluster.run(std::chrono::seconds(1), {leader, successor}, manager);
+        BOOST_REQUIRE(index.has_value());
+        BOOST_TEST(cluster.cores.at(leader).commit_index() >= *index);
+    }
+}
+
+/** The leader still knows the match index of a voter that it has removed, and its connection may
+    seem open for seconds: neither makes it a voter again before it answers. */
+BOOST_AUTO_TEST_CASE(a_removed_voter_does_not_vote_again_before_it_answers)
+{
+    test_cluster cluster(3);
+    const instance_id leader = first_identity(1);
+    const instance_id second = first_identity(2);
+    const instance_id silent = first_identity(3);
+    const instance_id added = make_identity(4, 77);
+    membership_manager manager(0);
+    for (const instance_id known : {leader, second, silent, added})
+    {
+        manager.set_identity(slot_of(known), known);
+    }
+    cluster.elect_first({leader, second, silent});
+    cluster.start_new(added);
+    cluster.run(std::chrono::seconds(2), {leader, second, silent, added}, manager);
+    BOOST_TEST(cluster.cores.at(leader).log().voters().size() == 4U);
+    const std::vector<instance_id> without_silent = {leader, second, added};
+    cluster.run(std::chrono::seconds(3), without_silent, manager);
+    for (int i = 0; i < 8; ++i)
+    {
+        cluster.run(std::chrono::milliseconds(250), without_silent, manager);
+        BOOST_TEST(cluster.cores.at(leader).log().voters() == without_silent);
+    }
+    cluster.run(std::chrono::seconds(1), {leader, second, silent, added}, manager);
+    BOOST_TEST(cluster.cores.at(leader).log().voters().size() == 4U);
+}
+
+/** Two of five instances are cut off and come back, as in a split of the control instances. If they
+    were removed, the loss of two other disks would lose records that two of three voters hold. */
+BOOST_AUTO_TEST_CASE(silent_voters_without_a_successor_stay_voters_for_seconds)
+{
+    for (const bool is_leader_elected_before : {true, false})
+    {
+        test_cluster cluster(5);
+        std::vector<instance_id> all;
+        membership_manager manager(0);
+        for (instance_slot slot = 1; slot <= 5; ++slot)
+        {
+            all.push_back(first_identity(slot));
+            manager.set_identity(slot, all.back());
+        }
+        const std::vector<instance_id> others(all.begin(), all.end() - 2);
+        cluster.elect_first(is_leader_elected_before ? all : others);
+        cluster.run(std::chrono::seconds(1), is_leader_elected_before ? all : others, manager);
+        cluster.run(std::chrono::seconds(4), others, manager);
+        cluster.run(std::chrono::seconds(1), all, manager);
+        BOOST_TEST(cluster.cores.at(all.front()).log().voters() == all);
+    }
+}
+
+/** Two of five instances are lost and replaced: two more can be lost once the successors have
+    caught up, also if their predecessors were lost before the leader was elected. */
+BOOST_AUTO_TEST_CASE(two_lost_voters_of_five_are_removed_once_their_successors_vote)
+{
+    test_cluster cluster(5);
+    const std::vector<instance_id> remaining = {first_identity(1), first_identity(2),
+                                                first_identity(3)};
+    membership_manager manager(0);
+    for (const instance_id known : remaining)
+    {
+        manager.set_identity(slot_of(known), known);
+    }
+    cluster.elect_first(remaining);
+    std::vector<instance_id> alive = remaining;
+    for (const instance_slot slot : {6U, 7U})
+    {
+        alive.push_back(make_identity(slot, 77));
+        cluster.start_new(alive.back());
+        manager.set_identity(slot, alive.back());
+    }
+    cluster.run(std::chrono::seconds(4), alive, manager);
+    BOOST_TEST(cluster.cores.at(remaining.front()).log().voters() == alive);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace carawayshelf
