Ignore announcements that are not of the agent's own backend server

Cause: an agent took any announcement that was born later as a restart of its server. It retired its member of the service, joined the unknown service, and dropped the real server's announcements as late. Agents that looked for the flows then asked the members of the service, without the one that held them.

Fix: the agent's settings give the service and the address of its server, so packet_agent compares both, and the writer gets 400 with the reason. A heartbeat without a readable address is rejected.

a_late_announcement_of_an_earlier_incarnation_changes_nothing named another service, which would now be rejected before its age is looked at; it names the agent's own service and announces draining instead, so that an accepted late announcement still shows.

--- a/modules/carawayshelf_io/packet_agent_daemon.cpp
+++ b/modules/carawayshelf_io/packet_agent_daemon.cpp
@@ -91,23 +91,15 @@
         return samples;
     }
 
-    void announce(const server_announcement& announcement, std::function<void(bool)> done) override
+    void announce(const server_announcement& announcement, outcome_handler done) override
     {
         worker_.post(
             [this, announcement, done = std::move(done)](time_point instant, packet_agent& core)
             {
-                const bool is_new = core.handle_announcement(instant, announcement);
-                boost::asio::post(io_,
-                                  [this, announcement, done, is_new]
-                                  {
-                                      if (is_new)
-                                      {
-                                          membership_.handle_announcement(announcement, done);
-                                          return;
-                                      }
-                                      membership_.handle_repeated_announcement(announcement.id,
-                                                                               done);
-                                  });
+                const announcement_verdict verdict =
+                    core.handle_announcement(instant, announcement);
+                boost::asio::post(io_, [this, announcement, done, verdict]
+                                  { update_membership(announcement, verdict, done); });
             });
     }
 
@@ -127,6 +119,31 @@
     }
 
 private:
+    void update_membership(const server_announcement& announcement, announcement_verdict verdict,
+                           const outcome_handler& done)
+    {
+        const server_membership::acknowledgement_handler acknowledge = [done](bool is_recorded)
+        {
+            done(is_recorded ? announcement_outcome::recorded : announcement_outcome::not_recorded);
+        };
+        switch (verdict)
+        {
+        case announcement_verdict::applied:
+            membership_.handle_announcement(announcement, acknowledge);
+            break;
+        case announcement_verdict::repeated:
+            membership_.handle_repeated_announcement(announcement.id, acknowledge);
+            break;
+        case announcement_verdict::foreign:
+            log_warning("ignored an announcement of backend server " + announcement.id +
+                        " of service '" + announcement.service + "' at " +
+                        to_string(announcement.address) + ": this agent's server is of service '" +
+                        settings_.service + "' at " + to_string(settings_.server));
+            done(announcement_outcome::foreign);
+            break;
+        }
+    }
+
     void propose(const change& edit, result_handler done) override
     {
         client_.propose(edit, std::move(done));
--- a/modules/carawayshelf_io/packet_agent_worker.cpp
+++ b/modules/carawayshelf_io/packet_agent_worker.cpp
@@ -18,6 +18,7 @@
     options.data = settings.data_address;
     options.domain = settings.domain;
     options.service = settings.service;
+    options.server = settings.server;
     options.announce_interval = std::chrono::milliseconds(settings.announce_ms);
     return options;
 }
--- a/modules/carawayshelf_io/platform_binding.hpp
+++ b/modules/carawayshelf_io/platform_binding.hpp
@@ -2,6 +2,7 @@
 
 #include "carawayshelf_catalogue/traffic_configuration.hpp"
 #include "carawayshelf_core/error.hpp"
+#include "carawayshelf_core/name_table.hpp"
 #include "carawayshelf_io/http_server.hpp"
 #include "carawayshelf_packets/packet_agent.hpp"
 #include "carawayshelf_packets/packet_format.hpp"
@@ -45,6 +46,17 @@
                                 operator_result_handler done) = 0;
 };
 
+/** Outcome of an announcement. */
+enum class announcement_outcome
+{
+    recorded,     ///< The agent applies it, and will still apply it after a restart.
+    not_recorded, ///< Control can't record it at present.
+    foreign       ///< It is not of the agent's own backend server; ignored.
+};
+
+inline constexpr name_table<announcement_outcome, 3> announcement_outcome_names{
+    {"recorded", "not_recorded", "foreign"}};
+
 /** The requests that a backend server sends to its agent. Calls and handlers run on the control
     thread. */
 class announcement_api
@@ -52,11 +64,10 @@
 public:
     virtual ~announcement_api() = default;
 
-    /** Takes an announcement of the backend server. The handler is called with true once the agent
-        applies it and will still apply it after a restart of the agent, or with false if control
-        can't record it at present. */
-    virtual void announce(const server_announcement& announcement,
-                          std::function<void(bool)> done) = 0;
+    using outcome_handler = std::function<void(announcement_outcome)>;
+
+    /** Takes an announcement of the backend server. */
+    virtual void announce(const server_announcement& announcement, outcome_handler done) = 0;
 
     /** Deregisters the backend server, which is about to stop. */
     virtual void depart(const std::string& id, std::function<void()> done) = 0;
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -124,18 +124,23 @@
     }
 }
 
-bool packet_agent::handle_announcement(time_point now, const server_announcement& announcement)
+announcement_verdict packet_agent::handle_announcement(time_point now,
+                                                       const server_announcement& announcement)
 {
+    if (announcement.service != options_.service || announcement.address != options_.server)
+    {
+        return announcement_verdict::foreign;
+    }
     if (announcement.id == departed_server_id_ && announcement.started_at <= server_.started_at)
     {
-        return false;
+        return announcement_verdict::repeated;
     }
     const bool is_known = has_server_ && announcement.id == server_.id &&
                           announcement.started_at == server_.started_at;
     const bool is_late = has_server_ && announcement.started_at < server_.started_at;
     if (is_late || (is_known && announcement.sequence <= server_.sequence))
     {
-        return false;
+        return announcement_verdict::repeated;
     }
     if (!is_known)
     {
@@ -147,7 +152,7 @@
     cold_until_ = now + announcement.cold_for;
     needs_announcement_ = false;
     admit_queued(now);
-    return true;
+    return announcement_verdict::applied;
 }
 
 bool packet_agent::handle_departure(const std::string& id)
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -35,6 +35,7 @@
         endpoint data; ///< Address that balancers and other agents send to.
         std::string domain;
         std::string service; ///< Service of its backend server, from the settings.
+        endpoint server;     ///< Address of its backend server, from the settings.
         duration announce_interval = std::chrono::seconds(1); ///< Of the server's announcements.
 
         /** Requests that the backend server gets beyond its slots, so that the handshake of the
@@ -72,9 +73,11 @@
         possible delays. */
     static constexpr int recorded_state_intervals = 2;
 
-    /** Handles an announcement of the backend server; it is in effect when the call returns.
-        Returns false, and ignores it, if it is not newer than what is known. */
-    bool handle_announcement(time_point now, const server_announcement& announcement);
+    /** Handles an announcement of the backend server; if applied, it is in effect when the call
+        returns. An announcement of another service or address is foreign: the agent would retire
+        its own server, whose open flows no other agent would look for here any more. */
+    announcement_verdict handle_announcement(time_point now,
+                                             const server_announcement& announcement);
 
     /** Handles the departure of the backend server. Returns false, and ignores it, if another
         server has taken its place. */
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -58,10 +58,10 @@
 class recording_announcement_api : public announcement_api
 {
 public:
-    void announce(const server_announcement& announcement, std::function<void(bool)> done) override
+    void announce(const server_announcement& announcement, outcome_handler done) override
     {
         announced.push_back(announcement);
-        done(is_recorded);
+        done(next_outcome);
     }
 
     void depart(const std::string& id, std::function<void()> done) override
@@ -72,7 +72,7 @@
 
     std::vector<server_announcement> announced;
     std::vector<std::string> departed;
-    bool is_recorded = true;
+    announcement_outcome next_outcome = announcement_outcome::recorded;
 };
 
 http_response send_operator_request(recording_operator_api& api, const http_request& request)
@@ -251,13 +251,15 @@
     const std::optional<server_announcement> read = decode_heartbeat("i-1", good_heartbeat);
     BOOST_REQUIRE(read.has_value());
     BOOST_TEST(read->service == "a");
+    BOOST_TEST(to_string(read->address) == "10.128.0.9:8080");
     BOOST_TEST(read->slots == 2U);
     BOOST_TEST(read->sequence == 4U);
     BOOST_TEST(read->started_at == 1700000000000U);
     BOOST_TEST((read->cold_for == std::chrono::milliseconds(250)));
     recording_announcement_api api;
     const std::string path = "/carawayshelf/Instances.Heartbeat/i-1";
-    for (const char* field : {"\"backend\":\"a\",", "\"capacity_slots\":2,", "\"seq\":4,"})
+    for (const char* field : {"\"backend\":\"a\",", "\"address\":\"10.128.0.9:8080\",",
+                              "\"capacity_slots\":2,", "\"seq\":4,"})
     {
         BOOST_TEST(announce(api, {"POST", path, replace_once(good_heartbeat, field, "")}).status ==
                    400U);
@@ -271,8 +273,10 @@
                200U);
     BOOST_TEST(announce(api, {"GET", path, ""}).status == 404U);
     BOOST_TEST(api.announced.size() == 1U);
-    api.is_recorded = false;
+    api.next_outcome = announcement_outcome::not_recorded;
     BOOST_TEST(announce(api, {"POST", path, good_heartbeat}).status == 503U);
+    api.next_outcome = announcement_outcome::foreign;
+    BOOST_TEST(announce(api, {"POST", path, good_heartbeat}).status == 400U);
     BOOST_TEST(api.departed.size() == 1U);
 }
 
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -16,6 +16,7 @@
 {
 
 const endpoint own_data{0x0A000001, 7000};
+const endpoint server_address{0x0A000001, 8080};
 const endpoint other_data{0x0A000002, 7000};
 const endpoint balancer_data{0x0A010001, 7000};
 const endpoint address{0xC6120001, 443};
@@ -57,6 +58,7 @@
         own.data = own_data;
         own.domain = "cuyo-a";
         own.service = "ordering";
+        own.server = server_address;
         core = std::make_unique<packet_agent>(own, format, port, counters, observer);
     }
 
@@ -98,12 +100,20 @@
         core->confirm_table(now);
     }
 
-    void announce(bool draining = false, duration cold_for = duration(0))
+    /** An announcement of the agent's own backend server. */
+    static server_announcement own_announcement(const std::string& id, std::uint64_t started_at)
     {
         server_announcement announcement;
-        announcement.id = "server";
+        announcement.id = id;
         announcement.service = "ordering";
-        announcement.started_at = 1;
+        announcement.address = server_address;
+        announcement.started_at = started_at;
+        return announcement;
+    }
+
+    void announce(bool draining = false, duration cold_for = duration(0))
+    {
+        server_announcement announcement = own_announcement("server", 1);
         announcement.sequence = ++announcements;
         announcement.is_draining = draining;
         announcement.cold_for = cold_for;
@@ -336,26 +346,45 @@
 {
     agent_fixture fixture;
     fixture.start();
-    server_announcement late;
-    late.id = "before";
-    late.service = "catalogue";
-    late.started_at = 0;
+    server_announcement late = agent_fixture::own_announcement("before", 0);
     late.sequence = 99;
-    BOOST_TEST(!fixture.core->handle_announcement(fixture.now, late));
+    late.is_draining = true;
+    BOOST_TEST(
+        (fixture.core->handle_announcement(fixture.now, late) == announcement_verdict::repeated));
     fixture.open(2000);
     BOOST_TEST(fixture.to_server.size() == 1U);
 }
 
+/** An announcement of another writer replaced the agent's backend server: its open flows were
+    reset, and it got no new ones. */
+BOOST_AUTO_TEST_CASE(an_announcement_of_another_service_or_address_changes_nothing)
+{
+    agent_fixture fixture;
+    fixture.start();
+    server_announcement foreign = agent_fixture::own_announcement("foreign", 99);
+    foreign.is_draining = true;
+    foreign.service = "unknown";
+    BOOST_TEST(
+        (fixture.core->handle_announcement(fixture.now, foreign) == announcement_verdict::foreign));
+    foreign.service = "ordering";
+    foreign.address = {server_address.address + 1, server_address.port};
+    BOOST_TEST(
+        (fixture.core->handle_announcement(fixture.now, foreign) == announcement_verdict::foreign));
+    fixture.open(2000);
+    BOOST_TEST(fixture.to_server.size() == 1U);
+    fixture.announce(true);
+    fixture.open(2001);
+    BOOST_TEST(fixture.to_server.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_restarted_server_with_the_same_id_restarts_its_sequence)
 {
     agent_fixture fixture;
     fixture.start();
-    server_announcement again;
-    again.id = "server";
-    again.service = "ordering";
-    again.started_at = 2;
+    server_announcement again = agent_fixture::own_announcement("server", 2);
     again.sequence = 1;
-    BOOST_TEST(fixture.core->handle_announcement(fixture.now, again));
+    BOOST_TEST(
+        (fixture.core->handle_announcement(fixture.now, again) == announcement_verdict::applied));
 }
 
 BOOST_AUTO_TEST_CASE(a_failure_domain_that_is_out_gets_no_new_flow_and_returns_at_the_cold_rate)
