Keep nested and oversized configurations from ending the process

A heartbeat could end an agent.

Cause: the message about a faulty field repeated its value with json::dump(), which calls itself for each level.

Fix: a message names a list or an object as such, and shortens texts. JSON text is checked for at most 64 levels and a million values before it is parsed, because small values take up to 80 times the memory of their text. The same cause on related paths: a message listed every fault of every route, and repeated the route's name in each line. About 100 faults are reported now, with names of at most 80 characters.

--- a/modules/carawayshelf_catalogue/traffic_configuration.hpp
+++ b/modules/carawayshelf_catalogue/traffic_configuration.hpp
@@ -67,8 +67,16 @@
     Thread-safe. */
 route_index index_routes(const traffic_configuration& configuration);
 
+/** Faults of a configuration after which no further ones are looked for, so that a message about an
+    invalid configuration stays short. */
+inline constexpr std::size_t max_reported_faults = 100;
+
+/** Shortens a name or a value for a message. Thread-safe. */
+std::string abbreviate(const std::string& text);
+
 /** Validates a whole configuration. Returns one line per fault, with the place, the value and the
-    remedy; empty if the configuration is valid. Thread-safe. */
+    remedy, for the first max_reported_faults or a few more; empty if the configuration is valid.
+    Thread-safe. */
 std::vector<std::string> find_configuration_faults(const traffic_configuration& configuration);
 
 /** Joins faults into one text, one per line. Thread-safe. */
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -217,6 +217,83 @@
     BOOST_TEST(api.replaced.empty());
 }
 
+/** A deeply nested value of a faulty field was written into the error message by recursion, which
+    exhausted the stack of each control instance and agent that read it. */
+BOOST_AUTO_TEST_CASE(deeply_nested_values_are_rejected_and_end_no_process)
+{
+    constexpr std::size_t depth = 1000000;
+    for (const std::string& nested :
+         {std::string(depth, '[') + std::string(depth, ']'), std::string(depth, '[')})
+    {
+        traffic_configuration decoded;
+        const std::string in_version = replace_once(good_configuration, "7", nested);
+        BOOST_TEST(!decode_configuration(in_version, decoded).empty());
+        const std::string in_route = replace_once(good_configuration, "1500", nested);
+        BOOST_TEST(!decode_configuration(in_route, decoded).empty());
+        recording_operator_api api;
+        BOOST_TEST(
+            send_operator_request(api, {"POST", "/carawayshelf/Config.Replace", nested}).status ==
+            400U);
+        BOOST_TEST(!decode_heartbeat("i-1", replace_once(good_heartbeat, "\"a\"", nested)));
+        BOOST_TEST(!decode_heartbeat("i-1", nested));
+    }
+}
+
+/** A list of small values takes many times the memory of its text. */
+BOOST_AUTO_TEST_CASE(more_values_than_the_limit_are_rejected)
+{
+    std::string list = "[";
+    for (int i = 0; i < 2000000; ++i)
+    {
+        list += "{},";
+    }
+    traffic_configuration decoded;
+    const std::vector<std::string> faults =
+        decode_configuration(replace_once(good_configuration, "7", list + "{}]"), decoded);
+    BOOST_REQUIRE(faults.size() == 1U);
+    BOOST_TEST(faults[0].find("values") != std::string::npos);
+}
+
+/** Each of a million faulty routes was described in several lines, in many times the memory that a
+    control instance may use. */
+BOOST_AUTO_TEST_CASE(only_the_first_faults_of_a_configuration_are_reported)
+{
+    std::string numbers = "[1";
+    for (int i = 0; i < 500000; ++i)
+    {
+        numbers += ",1";
+    }
+    numbers += "]";
+    for (const std::string& list :
+         {R"({"version":1,"routes":)" + numbers + R"(,"services":[]})",
+          R"({"version":1,"routes":[],"services":)" + numbers + "}",
+          R"({"version":1,"routes":[{"weighted_backends":)" + numbers + R"(}],"services":[]})"})
+    {
+        traffic_configuration decoded;
+        const std::size_t reported = decode_configuration(list, decoded).size();
+        BOOST_TEST(reported >= 100U);
+        BOOST_TEST(reported <= 120U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_error_message_names_the_faulty_value_briefly)
+{
+    traffic_configuration decoded;
+    const std::vector<std::string> of_list =
+        decode_configuration(replace_once(good_configuration, "7", "[[]]"), decoded);
+    BOOST_REQUIRE(of_list.size() == 1U);
+    BOOST_TEST(of_list[0].find("version is a list: give a whole number") != std::string::npos);
+    const std::vector<std::string> of_text = decode_configuration(
+        replace_once(good_configuration, "7", '"' + std::string(100000, 'x') + '"'), decoded);
+    BOOST_REQUIRE(of_text.size() == 1U);
+    BOOST_TEST(of_text[0].size() < 300U);
+    // Brackets in a text are no nesting.
+    BOOST_TEST(
+        decode_configuration(
+            replace_once(good_configuration, "r-1", std::string(200, '[') + R"(\"\\)"), decoded)
+            .empty());
+}
+
 BOOST_AUTO_TEST_CASE(operator_results_map_to_http_statuses)
 {
     recording_operator_api api;
--- a/tests/unit/traffic_configuration_test.cpp
+++ b/tests/unit/traffic_configuration_test.cpp
@@ -114,6 +114,19 @@
     BOOST_TEST(state.data().configuration_changed_at == 0U);
 }
 
+/** Each line about an unknown service repeated the route's name, in many times the memory that a
+    control instance may use. */
+BOOST_AUTO_TEST_CASE(messages_about_many_faults_and_long_names_stay_short)
+{
+    traffic_configuration broken = fixture::make(1);
+    broken.routes[0].name = std::string(100000, 'x');
+    broken.routes[0].shares.assign(100000, {"unknown", 1});
+    broken.services.assign(10000, {std::string(1000, 'z'), 0, 0.0});
+    BOOST_TEST(join_faults(find_configuration_faults(broken)).size() < 100000U);
+    broken.services = {{"ordering", 0, 0.0}};
+    BOOST_TEST(join_faults(find_configuration_faults(broken)).size() < 100000U);
+}
+
 BOOST_AUTO_TEST_CASE(earlier_services_are_kept_while_the_route_exists)
 {
     replace(make(1));
