Reject heartbeats with numbers out of range, and long ones

From a report of other operators: an odd entry of another writer ended the machines that read it, or made them stop following the servers.

Here, a heartbeat with `born` was accepted, and the server's later ones were ignored as late for good; slots wrapped to 1 with the requests ahead.

The limit of a body is an argument of http_server now, with a test.

--- a/modules/carawayshelf_io/http_server.cpp
+++ b/modules/carawayshelf_io/http_server.cpp
@@ -29,15 +29,17 @@
 public:
     using shared_pointer = std::shared_ptr<http_server::shared_state>;
 
-    http_session(boost::asio::ip::tcp::socket socket, http_handler handler, shared_pointer shared)
-        : stream_(std::move(socket)), handler_(std::move(handler)), shared_(std::move(shared))
+    http_session(boost::asio::ip::tcp::socket socket, http_handler handler,
+                 std::size_t max_body_bytes, shared_pointer shared)
+        : stream_(std::move(socket)), handler_(std::move(handler)), max_body_bytes_(max_body_bytes),
+          shared_(std::move(shared))
     {
     }
 
     void read_next()
     {
         parser_.emplace();
-        parser_->body_limit(http_server::max_body_bytes);
+        parser_->body_limit(max_body_bytes_);
         stream_.expires_after(idle_timeout);
         http::async_read(stream_, buffer_, *parser_,
                          [self = shared_from_this()](const boost::system::error_code& error,
@@ -136,6 +138,7 @@
     std::optional<http::request_parser<http::string_body>> parser_;
     http::response<http::string_body> response_;
     http_handler handler_;
+    std::size_t max_body_bytes_;
     shared_pointer shared_;
     std::uint64_t request_number_ = 0; ///< Number of the current request.
     bool is_response_sent_ = false;
@@ -144,8 +147,9 @@
 
 } // namespace
 
-http_server::http_server(boost::asio::io_context& io, http_handler handler)
-    : acceptor_(io), handler_(std::move(handler))
+http_server::http_server(boost::asio::io_context& io, http_handler handler,
+                         std::size_t max_body_bytes)
+    : acceptor_(io), handler_(std::move(handler)), max_body_bytes_(max_body_bytes)
 {
 }
 
@@ -183,7 +187,9 @@
         {
             if (!error)
             {
-                std::make_shared<http_session>(std::move(socket), handler_, shared_)->read_next();
+                std::make_shared<http_session>(std::move(socket), handler_, max_body_bytes_,
+                                               shared_)
+                    ->read_next();
             }
             else if (acceptor_.is_open())
             {
--- a/modules/carawayshelf_io/http_server.hpp
+++ b/modules/carawayshelf_io/http_server.hpp
@@ -38,14 +38,16 @@
 using http_handler = std::function<void(const http_request&, const http_responder&)>;
 
 /** A small HTTP/1.1 server with persistent connections. Handlers run on the io_context's thread.
-    Responds with 400 to a malformed request and with 413 to a body over max_body_bytes. */
+    Responds with 400 to a malformed request and with 413 to a body that is too long. */
 class http_server
 {
 public:
     /** Enough for a configuration of about ten thousand routes. */
-    static constexpr std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
+    static constexpr std::size_t default_max_body_bytes = std::size_t{8} * 1024 * 1024;
 
-    http_server(boost::asio::io_context& io, http_handler handler);
+    /** @param max_body_bytes  of a request */
+    http_server(boost::asio::io_context& io, http_handler handler,
+                std::size_t max_body_bytes = default_max_body_bytes);
 
     /** Starts listening at an address. Errors: invalid_settings if it can't be bound. */
     failure start(const endpoint& address);
@@ -79,6 +81,7 @@
 
     boost::asio::ip::tcp::acceptor acceptor_;
     http_handler handler_;
+    std::size_t max_body_bytes_;
     std::shared_ptr<shared_state> shared_ = std::make_shared<shared_state>();
     lifetime_guard lifetime_;
 };
--- a/modules/carawayshelf_io/packet_agent_daemon.cpp
+++ b/modules/carawayshelf_io/packet_agent_daemon.cpp
@@ -22,6 +22,9 @@
 
 constexpr std::chrono::milliseconds retry_delay(300);
 
+/** Many times the length of an announcement; an agent has little memory. */
+constexpr std::size_t max_announcement_bytes = std::size_t{64} * 1024;
+
 /** The control thread of a packet agent: keeps its lease and its membership and receives the
     announcements of its backend server. Runs on the io_context's only thread. */
 class packet_agent_daemon : public announcement_api, private membership_port
@@ -36,11 +39,15 @@
               io, settings.control_instances, [this] { return current_report(); },
               [this](const table_update& update) { handle_update(update); }),
           announcement_server_(
-              io, [this, &platform](const http_request& request, const http_responder& respond)
-              { platform.handle_announcement(*this, request, respond); }),
+              io,
+              [this, &platform](const http_request& request, const http_responder& respond)
+              { platform.handle_announcement(*this, request, respond); },
+              max_announcement_bytes),
           readiness_server_(
-              io, [this, &platform](const http_request& request, const http_responder& respond)
-              { platform.handle_readiness(table_.held() != 0, request, respond); }),
+              io,
+              [this, &platform](const http_request& request, const http_responder& respond)
+              { platform.handle_readiness(table_.held() != 0, request, respond); },
+              max_announcement_bytes),
           retry_timer_(io)
     {
     }
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -357,6 +357,30 @@
     BOOST_TEST(api.departed.size() == 1U);
 }
 
+/** A number or a port beyond any server's came from another writer. Accepted, it would overload the
+    server, or shut out all its later heartbeats. */
+BOOST_AUTO_TEST_CASE(a_heartbeat_with_a_number_out_of_range_is_rejected)
+{
+    const std::vector<std::pair<std::string, std::vector<std::string>>> cases = {
+        {R"("capacity_slots":2)", {"0", "-1", "2.5", "65536", "4294967295", "1e30", "1e400"}},
+        {R"("warmup_left_ms":250)", {"-1", "4294967295", "18446744073709551616"}},
+        {R"("seq":4)", {"-1", "9223372036854775808", "18446744073709551616", "1e400"}},
+        {R"("born":1700000000000)", {"-1", "1.5", "9223372036854775807", "1e400"}},
+        {R"("address":"10.128.0.9:8080")",
+         {R"("10.128.0.9:65536")", R"("10.128.0.9:0")", R"("10.128.0.9:-1")", R"("10.128.0.9")",
+          R"("10.128.0.256:8080")", "8080"}},
+    };
+    for (const auto& [field, values] : cases)
+    {
+        const std::string key = field.substr(0, field.find(':') + 1);
+        for (const std::string& value : values)
+        {
+            const std::string heartbeat = replace_once(good_heartbeat, field, key + value);
+            BOOST_TEST(!decode_heartbeat("i-1", heartbeat), heartbeat);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(mutated_input_is_either_rejected_or_fully_decoded)
 {
     std::mt19937_64 random(2);
--- a/tests/unit/control_server_test.cpp
+++ b/tests/unit/control_server_test.cpp
@@ -165,14 +165,17 @@
 
 /** Sends bytes to an HTTP server and returns what the first read of its response yields; empty if
     nothing arrives within 5 s. */
-std::string exchange(const std::string& bytes)
+std::string exchange_http(const std::string& bytes,
+                          std::size_t max_body_bytes = http_server::default_max_body_bytes)
 {
     boost::asio::io_context io;
     const endpoint address{first_address + 9, free_port()};
-    http_server server(io,
-                       [](const http_request& request, const http_responder& respond) {
-                           respond({200, "text/plain", request.method + " " + request.body});
-                       });
+    http_server server(
+        io,
+        [](const http_request& request, const http_responder& respond) {
+            respond({200, "text/plain", request.method + " " + request.body});
+        },
+        max_body_bytes);
     BOOST_REQUIRE(!server.start(address));
     boost::asio::ip::tcp::socket peer(io);
     peer.connect(to_asio(address));
@@ -436,13 +439,21 @@
 
 BOOST_AUTO_TEST_CASE(http_requests_are_answered_and_malformed_ones_refused)
 {
-    BOOST_TEST(exchange("POST /x HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc").find("POST abc") !=
+    BOOST_TEST(exchange_http("POST /x HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc").find("POST abc") !=
                std::string::npos);
-    BOOST_TEST(exchange("nonsense\r\n\r\n").find("400") != std::string::npos);
-    BOOST_TEST(exchange("POST /x HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n").find("413") !=
+    BOOST_TEST(exchange_http("nonsense\r\n\r\n").find("400") != std::string::npos);
+    BOOST_TEST(exchange_http("POST /x HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n").find("413") !=
                std::string::npos);
 }
 
+/** An agent has too little memory to parse the longest configuration that an operator may send. */
+BOOST_AUTO_TEST_CASE(a_body_over_the_limit_of_the_server_is_refused)
+{
+    const std::string request = "POST /x HTTP/1.1\r\nContent-Length: 11\r\n\r\n12345678901";
+    BOOST_TEST(exchange_http(request, 11).find("POST 12345678901") != std::string::npos);
+    BOOST_TEST(exchange_http(request, 10).find("413") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace carawayshelf
