Exchange identities of control instances while a disk is full, too

Cause: an instance that can't write dropped all frames. Identities are sent once in each connection, so nobody knew the instance after its disk had room again, and a voter that had been removed after 6 s was never added again.

Fix: identities are handled and answered without storage. On related paths, a daemon that subscribes meanwhile is disconnected instead of missing all later updates, and requests are refused at once instead of staying unanswered. The metric control_is_leader is 0 while the storage fails.

Evidence: the three new tests fail without the fix.

--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -165,6 +165,7 @@
                                    "this instance can't store anything at present"));
     }
     was_leader_ = false;
+    counters_.is_leader = 0;
     storage_retry_at_ = steady_now() + storage_retry_interval;
 }
 
@@ -258,8 +259,17 @@
     {
         handle_forwarded_reply(std::move(received.forwarded_reply));
     }
+    if (received.hello) // Also without storage, because it is sent once in each connection.
+    {
+        handle_hello(*received.hello);
+        if (!peers_.is_outgoing(connection.get()))
+        {
+            send_hello(connection);
+        }
+    }
     if (!is_storage_available_)
     {
+        refuse_without_storage(connection, received);
         return;
     }
     if (received.probe && !received.probe->is_reply)
@@ -273,14 +283,6 @@
             core_->receive(steady_now(), *unpacked);
         }
     }
-    if (received.hello)
-    {
-        handle_hello(*received.hello);
-        if (!peers_.is_outgoing(connection.get()))
-        {
-            send_hello(connection);
-        }
-    }
     if (received.digest)
     {
         for (const std::unique_ptr<buffers::daemon_lease_object>& lease : received.digest->leases)
@@ -330,6 +332,37 @@
     schedule_output_processing();
 }
 
+/** Answers the requests in a frame that arrives while this instance can't store anything. A daemon
+    that subscribes is disconnected: it subscribes once in each connection, and would get no updates
+    after the storage has recovered. */
+void control_server::refuse_without_storage(const connection_pointer& connection,
+                                            const frame& received)
+{
+    const auto make_refusal = [](std::uint64_t number)
+    {
+        return make_error_reply(number, error_kind::no_leader,
+                                "this instance can't store anything at present");
+    };
+    frame answer;
+    if (received.client_request)
+    {
+        answer.client_reply = make_refusal(received.client_request->number);
+    }
+    if (received.forwarded_request)
+    {
+        answer.forwarded_reply = make_refusal(received.forwarded_request->number);
+    }
+    if (answer.client_reply || answer.forwarded_reply)
+    {
+        connection->send(answer);
+    }
+    if (received.subscription)
+    {
+        connection->close(make_failure(error_kind::storage_failed,
+                                       "a daemon subscribed while the storage fails"));
+    }
+}
+
 void control_server::maintain_peers()
 {
     for (std::size_t i = 0; i < settings_.peers.size(); ++i)
--- a/modules/carawayshelf_io/control_server.hpp
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -127,6 +127,7 @@
     void start_connection(const connection_pointer& connection);
     void drop_connection(const connection_pointer& connection);
     void handle_frame(const connection_pointer& connection, frame& received);
+    static void refuse_without_storage(const connection_pointer& connection, const frame& received);
     failure create_cluster_on_first_start();
     failure load_store();
     void suspend_storage(const failure& why);
--- a/tests/unit/control_server_test.cpp
+++ b/tests/unit/control_server_test.cpp
@@ -41,7 +41,7 @@
 /** Three control instances in one io_context, each with its own address and data folder. */
 struct cluster
 {
-    cluster()
+    explicit cluster(std::uint32_t snapshot_every = control_settings{}.snapshot_every)
     {
         std::string pattern = (std::filesystem::temp_directory_path() / "carawayshelf-XXXXXX");
         folder = ::mkdtemp(pattern.data());
@@ -54,6 +54,7 @@
             settings.address = {first_address + i, control_port};
             settings.data_folder = folder + "/" + std::to_string(i);
             settings.domains = {"cuyo-a"};
+            settings.snapshot_every = snapshot_every;
             for (std::uint32_t j = 0; j < 3; ++j)
             {
                 settings.peers.push_back({first_address + j, control_port});
@@ -142,6 +143,74 @@
         return found;
     }
 
+    /** Makes each later snapshot of an instance fail, as on a full disk. */
+    void fill_disk(std::size_t index)
+    {
+        const std::string& data_folder = all_settings[index].data_folder;
+        std::filesystem::rename(data_folder, data_folder + ".kept");
+        std::ofstream(data_folder) << "not a folder";
+    }
+
+    /** Reverses fill_disk(). */
+    void empty_disk(std::size_t index)
+    {
+        const std::string& data_folder = all_settings[index].data_folder;
+        std::filesystem::remove(data_folder);
+        std::filesystem::rename(data_folder + ".kept", data_folder);
+    }
+
+    std::uint64_t storage_failures(std::size_t index) const
+    {
+        for (const metric_sample& sample : servers[index]->samples())
+        {
+            if (sample.metric == "control_storage_failures_total")
+            {
+                return static_cast<std::uint64_t>(sample.value);
+            }
+        }
+        return 0;
+    }
+
+    /** Opens a connection to an instance, as a daemon or an operator does. */
+    std::shared_ptr<frame_connection> connect(std::size_t index,
+                                              frame_connection::frame_handler on_frame,
+                                              frame_connection::close_handler on_close)
+    {
+        boost::asio::ip::tcp::socket socket(io);
+        socket.connect(to_asio(all_settings[index].address));
+        std::shared_ptr<frame_connection> connection =
+            std::make_shared<frame_connection>(std::move(socket));
+        connection->start(std::move(on_frame), std::move(on_close));
+        return connection;
+    }
+
+    /** Sends a request to an instance and returns its reply; nothing if there is none within 1 s.
+     */
+    std::unique_ptr<buffers::reply_object> call(std::size_t index, request_kind kind)
+    {
+        std::unique_ptr<buffers::reply_object> reply;
+        const std::shared_ptr<frame_connection> connection = connect(
+            index, [&reply](frame& received) { reply = std::move(received.client_reply); },
+            [](const failure& /*why*/) {});
+        frame sent;
+        sent.client_request = std::make_unique<buffers::request_object>();
+        sent.client_request->kind = static_cast<std::uint8_t>(kind);
+        connection->send(sent);
+        for (int i = 0; i < 100 && !reply; ++i)
+        {
+            io.restart();
+            io.run_for(std::chrono::milliseconds(10));
+        }
+        connection->close({});
+        return reply;
+    }
+
+    bool is_safe_to_lose_one(std::size_t index)
+    {
+        const std::unique_ptr<buffers::reply_object> reply = call(index, request_kind::status);
+        return reply && reply->state && reply->state->safe_to_lose_one;
+    }
+
     operator_result read(std::size_t at)
     {
         operator_result outcome;
@@ -303,6 +372,86 @@
     BOOST_TEST(test_cluster.read(1).content == "three");
 }
 
+/** Control instances exchange their identities once in each connection. Those that arrived at an
+    instance with a full disk were dropped: it was never counted as safe to lose one again, and
+    would not have become a voter again after its removal. */
+BOOST_AUTO_TEST_CASE(instances_know_each_other_again_after_their_disks_were_full_in_turn)
+{
+    cluster test_cluster(1);
+    std::uint64_t version = 0;
+    BOOST_TEST(test_cluster.replace_until_accepted(0, ++version, "first"));
+    for (int turn = 0; turn < 3; ++turn)
+    {
+        const std::size_t leader = test_cluster.leader();
+        const std::size_t full = (leader + 1) % 3;
+        const std::uint64_t failures_before = test_cluster.storage_failures(full);
+        test_cluster.fill_disk(full);
+        BOOST_TEST(test_cluster.replace_until_accepted(leader, ++version, "full"));
+        BOOST_REQUIRE(test_cluster.run_until(
+            [&] { return test_cluster.storage_failures(full) > failures_before; }));
+        // The others give up the connections on which it answers no probes.
+        test_cluster.io.restart();
+        test_cluster.io.run_for(std::chrono::milliseconds(2500));
+        test_cluster.empty_disk(full);
+        BOOST_TEST(test_cluster.replace_until_accepted(full, ++version, "empty"));
+        test_cluster.io.restart();
+        test_cluster.io.run_for(std::chrono::seconds(1));
+        BOOST_TEST(test_cluster.is_safe_to_lose_one(test_cluster.leader()));
+    }
+}
+
+/** A daemon that subscribed at an instance with a full disk was counted as connected once the disk
+    had space again, and kept its old table for good. */
+BOOST_AUTO_TEST_CASE(a_daemon_that_subscribes_while_the_disk_is_full_does_not_miss_later_updates)
+{
+    cluster test_cluster(1);
+    BOOST_TEST(test_cluster.replace_until_accepted(0, 1, "one"));
+    const std::size_t leader = test_cluster.leader();
+    const std::size_t full = (leader + 1) % 3;
+    test_cluster.fill_disk(full);
+    BOOST_TEST(test_cluster.replace_until_accepted(leader, 2, "two"));
+    BOOST_REQUIRE(test_cluster.run_until([&] { return test_cluster.storage_failures(full) != 0; }));
+    bool is_closed = false;
+    bool is_updated = false;
+    const std::shared_ptr<frame_connection> daemon = test_cluster.connect(
+        full, [&is_updated](frame& received) { is_updated |= received.update != nullptr; },
+        [&is_closed](const failure& /*why*/) { is_closed = true; });
+    daemon_report report;
+    report.name = "balancer-1";
+    frame subscription;
+    subscription.subscription = std::make_unique<buffers::subscribe_object>();
+    subscription.subscription->lease = pack_report(report);
+    subscription.subscription->service = every_service;
+    daemon->send(subscription);
+    test_cluster.io.restart();
+    test_cluster.io.run_for(std::chrono::milliseconds(100));
+    test_cluster.empty_disk(full);
+    BOOST_TEST(test_cluster.replace_until_accepted(leader, 3, "three"));
+    frame lease;
+    lease.lease = pack_report(report);
+    if (!is_closed)
+    {
+        daemon->send(lease);
+    }
+    BOOST_TEST(test_cluster.run_until([&] { return is_closed || is_updated; }));
+}
+
+BOOST_AUTO_TEST_CASE(an_instance_with_a_full_disk_refuses_requests_at_once)
+{
+    cluster test_cluster(1);
+    BOOST_TEST(test_cluster.replace_until_accepted(0, 1, "one"));
+    const std::size_t leader = test_cluster.leader();
+    const std::size_t full = (leader + 1) % 3;
+    test_cluster.fill_disk(full);
+    BOOST_TEST(test_cluster.replace_until_accepted(leader, 2, "two"));
+    BOOST_REQUIRE(test_cluster.run_until([&] { return test_cluster.storage_failures(full) != 0; }));
+    const std::unique_ptr<buffers::reply_object> reply =
+        test_cluster.call(full, request_kind::status);
+    BOOST_REQUIRE(reply);
+    BOOST_TEST((static_cast<error_kind>(reply->error) == error_kind::no_leader));
+    test_cluster.empty_disk(full);
+}
+
 BOOST_AUTO_TEST_CASE(an_instance_whose_disk_fails_still_answers_forwarded_requests)
 {
     cluster test_cluster;
