--- a/tests/fakes/packet_simulation.cpp
+++ b/tests/fakes/packet_simulation.cpp
@@ -29,8 +29,10 @@
 
 } // namespace
 
-packet_simulation::packet_simulation(std::uint64_t seed, injected_packet_faults faults)
-    : faults_(faults), random_(seed), now_(std::chrono::seconds(1000)), flows_by_key_(&key_less)
+packet_simulation::packet_simulation(std::uint64_t seed, injected_packet_faults faults,
+                                     std::uint32_t max_flows)
+    : faults_(faults), max_flows_(max_flows), random_(seed), now_(std::chrono::seconds(1000)),
+      flows_by_key_(&key_less)
 {
     put_configuration();
     for (const char* service : {"ordering", "ordering", "ordering", "catalogue", "stranger"})
@@ -189,11 +191,25 @@
         route_removed_at_ = has_route_ ? route_removed_at_ : now_;
         put_configuration();
         break;
+    case packet_step_kind::announce_foreign_server:
+        announce_foreign_server(selected_agent, step.selector);
+        break;
     case packet_step_kind::count:
         break;
     }
 }
 
+void packet_simulation::announce_foreign_server(agent_node& node, std::uint32_t selector)
+{
+    server_announcement announcement;
+    announcement.id = "foreign";
+    announcement.service = selector % 2 == 0 ? "unknown" : node.service;
+    announcement.address = {selector + 1, 1};
+    announcement.started_at = node.server_incarnation + 1;
+    announcement.is_draining = selector % 3 == 0;
+    node.core->handle_announcement(now_, announcement);
+}
+
 void packet_simulation::change(const carawayshelf::change& edit)
 {
     cluster_state_.apply(++last_generation_, edit);
@@ -207,7 +223,7 @@
     configuration.version = version_;
     for (const char* name : {"ordering", "catalogue", "stranger"})
     {
-        configuration.services.push_back({name, 0, 0.0});
+        configuration.services.push_back({name, max_flows_, 0.0});
     }
     if (has_route_)
     {
--- a/tests/fakes/packet_simulation.hpp
+++ b/tests/fakes/packet_simulation.hpp
@@ -36,6 +36,7 @@
     domain_in,
     remove_route,
     restore_route,
+    announce_foreign_server, ///< Another writer's announcement arrives at an agent.
     count
 };
 
@@ -64,7 +65,9 @@
 class packet_simulation
 {
 public:
-    packet_simulation(std::uint64_t seed, injected_packet_faults faults);
+    /** @param max_flows  of each backend server; 0 means no limit */
+    packet_simulation(std::uint64_t seed, injected_packet_faults faults,
+                      std::uint32_t max_flows = 0);
     ~packet_simulation();
 
     void run(const std::vector<packet_step>& steps);
@@ -124,6 +127,7 @@
     void start_agent(std::size_t index);
     void announce_member_of(std::size_t index);
     void announce_server(std::size_t index);
+    void announce_foreign_server(agent_node& node, std::uint32_t selector);
     void add_balancer();
     void start_balancer(std::size_t index);
 
@@ -146,6 +150,7 @@
     bool may_be_lost(const client_flow& flow) const;
 
     injected_packet_faults faults_;
+    std::uint32_t max_flows_;
     std::mt19937_64 random_;
     test_packets format_;
     time_point now_;
--- a/tests/unit/packet_history_test.cpp
+++ b/tests/unit/packet_history_test.cpp
@@ -31,12 +31,14 @@
 {
     steady,
     route_changes, ///< In these histories only, because removing a route may end its flows.
-    departures
+    departures,
+    foreign_writers
 };
 
 rc::Gen<std::vector<packet_step>> history_generator(history_profile profile)
 {
     const std::size_t route_weight = profile == history_profile::route_changes ? 2 : 0;
+    const std::size_t foreign_writers = profile == history_profile::foreign_writers ? 4 : 0;
     const std::size_t departures = profile == history_profile::departures ? 4 : 1;
     const rc::Gen<packet_step_kind> kinds = rc::gen::weightedElement<packet_step_kind>({
         {30, packet_step_kind::open_flow},
@@ -57,6 +59,7 @@
         {3, packet_step_kind::domain_in},
         {route_weight, packet_step_kind::remove_route},
         {route_weight, packet_step_kind::restore_route},
+        {foreign_writers, packet_step_kind::announce_foreign_server},
     });
     const rc::Gen<packet_step> steps = rc::gen::apply(
         [](packet_step_kind kind, std::uint32_t selector) {
@@ -99,6 +102,34 @@
     BOOST_TEST(answered > 10 * histories_to_run());
 }
 
+/** Servers hold few flows, and announcements of other writers arrive at their agents. Once, an
+   agent at its maximum of flows did not return from a call, and a foreign announcement took an
+   agent's server away. */
+BOOST_AUTO_TEST_CASE(invariants_hold_with_few_flows_for_each_server_and_foreign_announcements)
+{
+    std::uint64_t answered = 0;
+    std::uint64_t failed_seeds = 0;
+    const std::uint64_t histories = histories_to_run() / 3;
+    for (std::uint64_t seed = 1; seed <= histories; ++seed)
+    {
+        const std::vector<packet_step> steps =
+            history_generator(history_profile::foreign_writers)(rc::Random(seed), history_size)
+                .value();
+        const std::uint32_t max_flows = 2 + seed % 5;
+        packet_simulation simulation(seed, injected_packet_faults{}, max_flows);
+        simulation.run(steps);
+        answered += simulation.answered();
+        if (!simulation.violation().empty())
+        {
+            ++failed_seeds;
+            BOOST_TEST_MESSAGE("seed " << seed << ": " << simulation.violation());
+        }
+    }
+    BOOST_TEST_MESSAGE(answered << " requests answered");
+    BOOST_TEST(failed_seeds == 0U);
+    BOOST_TEST(answered > 2 * histories);
+}
+
 BOOST_AUTO_TEST_CASE(each_injected_fault_is_detected)
 {
     struct fault_case
