--- a/modules/carawayshelf_catalogue/traffic_configuration.cpp
+++ b/modules/carawayshelf_catalogue/traffic_configuration.cpp
@@ -1,5 +1,7 @@
 #include "carawayshelf_catalogue/traffic_configuration.hpp"
 
+#include "carawayshelf_core/error.hpp"
+
 #include <map>
 #include <set>
 
@@ -9,8 +11,6 @@
 namespace
 {
 
-constexpr std::size_t max_quoted_length = 80;
-
 void check_shares(const traffic_route& route, const std::set<std::string>& services,
                   std::vector<std::string>& faults)
 {
@@ -43,11 +43,6 @@
     return index;
 }
 
-std::string abbreviate(const std::string& text)
-{
-    return text.size() <= max_quoted_length ? text : text.substr(0, max_quoted_length) + "...";
-}
-
 std::vector<std::string> find_configuration_faults(const traffic_configuration& configuration)
 {
     std::vector<std::string> faults;
--- a/modules/carawayshelf_catalogue/traffic_configuration.hpp
+++ b/modules/carawayshelf_catalogue/traffic_configuration.hpp
@@ -71,9 +71,6 @@
     invalid configuration stays short. */
 inline constexpr std::size_t max_reported_faults = 100;
 
-/** Shortens a name or a value for a message. Thread-safe. */
-std::string abbreviate(const std::string& text);
-
 /** Validates a whole configuration. Returns one line per fault, with the place, the value and the
     remedy, for the first max_reported_faults or a few more; empty if the configuration is valid.
     Thread-safe. */
--- a/modules/carawayshelf_core/error.cpp
+++ b/modules/carawayshelf_core/error.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+constexpr std::size_t max_quoted_bytes = 80;
+
 const char* message_of(error_kind kind)
 {
     switch (kind)
@@ -93,4 +95,9 @@
     return failure{make_error_code(kind), std::move(detail)};
 }
 
+std::string abbreviate(const std::string& text)
+{
+    return text.size() <= max_quoted_bytes ? text : text.substr(0, max_quoted_bytes) + "...";
+}
+
 } // namespace carawayshelf
--- a/modules/carawayshelf_core/error.hpp
+++ b/modules/carawayshelf_core/error.hpp
@@ -52,6 +52,10 @@
 /** Creates a failure. Thread-safe. */
 failure make_failure(error_kind kind, std::string detail);
 
+/** Returns a text from outside for a message or a log line: at most 80 bytes of it, with "..." if
+   it is longer. Thread-safe. */
+std::string abbreviate(const std::string& text);
+
 } // namespace carawayshelf
 
 template <>
--- a/modules/carawayshelf_io/packet_agent_daemon.cpp
+++ b/modules/carawayshelf_io/packet_agent_daemon.cpp
@@ -142,8 +142,8 @@
             membership_.handle_repeated_announcement(announcement.id, acknowledge);
             break;
         case announcement_verdict::foreign:
-            log_warning("ignored an announcement of backend server " + announcement.id +
-                        " of service '" + announcement.service + "' at " +
+            log_warning("ignored an announcement of backend server " + abbreviate(announcement.id) +
+                        " of service '" + abbreviate(announcement.service) + "' at " +
                         to_string(announcement.address) + ": this agent's server is of service '" +
                         settings_.service + "' at " + to_string(settings_.server));
             done(announcement_outcome::foreign);
