--- a/tests/unit/control_server_test.cpp
+++ b/tests/unit/control_server_test.cpp
@@ -143,15 +143,23 @@
         return found;
     }
 
-    /** Makes each later snapshot of an instance fail, as on a full disk. */
-    void fill_disk(std::size_t index)
+    /** Makes each later snapshot of a follower fail, as on a full disk, and replaces the
+        configuration so that it notices. Precondition: each record is followed by a snapshot.
+        Returns the follower's index. */
+    std::size_t fill_disk_of_follower(std::uint64_t version)
     {
-        const std::string& data_folder = all_settings[index].data_folder;
+        const std::size_t leading = leader();
+        const std::size_t follower = (leading + 1) % 3;
+        const std::uint64_t failures_before = storage_failures(follower);
+        const std::string& data_folder = all_settings[follower].data_folder;
         std::filesystem::rename(data_folder, data_folder + ".kept");
         std::ofstream(data_folder) << "not a folder";
+        BOOST_TEST(replace_until_accepted(leading, version, "full"));
+        BOOST_REQUIRE(run_until([&] { return storage_failures(follower) > failures_before; }));
+        return follower;
     }
 
-    /** Reverses fill_disk(). */
+    /** Reverses fill_disk_of_follower(). */
     void empty_disk(std::size_t index)
     {
         const std::string& data_folder = all_settings[index].data_folder;
@@ -382,13 +390,7 @@
     BOOST_TEST(test_cluster.replace_until_accepted(0, ++version, "first"));
     for (int turn = 0; turn < 3; ++turn)
     {
-        const std::size_t leader = test_cluster.leader();
-        const std::size_t full = (leader + 1) % 3;
-        const std::uint64_t failures_before = test_cluster.storage_failures(full);
-        test_cluster.fill_disk(full);
-        BOOST_TEST(test_cluster.replace_until_accepted(leader, ++version, "full"));
-        BOOST_REQUIRE(test_cluster.run_until(
-            [&] { return test_cluster.storage_failures(full) > failures_before; }));
+        const std::size_t full = test_cluster.fill_disk_of_follower(++version);
         // The others give up the connections on which it answers no probes.
         test_cluster.io.restart();
         test_cluster.io.run_for(std::chrono::milliseconds(2500));
@@ -406,11 +408,7 @@
 {
     cluster test_cluster(1);
     BOOST_TEST(test_cluster.replace_until_accepted(0, 1, "one"));
-    const std::size_t leader = test_cluster.leader();
-    const std::size_t full = (leader + 1) % 3;
-    test_cluster.fill_disk(full);
-    BOOST_TEST(test_cluster.replace_until_accepted(leader, 2, "two"));
-    BOOST_REQUIRE(test_cluster.run_until([&] { return test_cluster.storage_failures(full) != 0; }));
+    const std::size_t full = test_cluster.fill_disk_of_follower(2);
     bool is_closed = false;
     bool is_updated = false;
     const std::shared_ptr<frame_connection> daemon = test_cluster.connect(
@@ -426,7 +424,7 @@
     test_cluster.io.restart();
     test_cluster.io.run_for(std::chrono::milliseconds(100));
     test_cluster.empty_disk(full);
-    BOOST_TEST(test_cluster.replace_until_accepted(leader, 3, "three"));
+    BOOST_TEST(test_cluster.replace_until_accepted(test_cluster.leader(), 3, "three"));
     frame lease;
     lease.lease = pack_report(report);
     if (!is_closed)
@@ -440,11 +438,7 @@
 {
     cluster test_cluster(1);
     BOOST_TEST(test_cluster.replace_until_accepted(0, 1, "one"));
-    const std::size_t leader = test_cluster.leader();
-    const std::size_t full = (leader + 1) % 3;
-    test_cluster.fill_disk(full);
-    BOOST_TEST(test_cluster.replace_until_accepted(leader, 2, "two"));
-    BOOST_REQUIRE(test_cluster.run_until([&] { return test_cluster.storage_failures(full) != 0; }));
+    const std::size_t full = test_cluster.fill_disk_of_follower(2);
     const std::unique_ptr<buffers::reply_object> reply =
         test_cluster.call(full, request_kind::status);
     BOOST_REQUIRE(reply);
