Reset refused opening packets only while no other copy can exist

Cause: a client sends copies of its opening packet after 200 and 600 ms. After a change of the routers' rotation, or when a copy is late, they are placed at different members. An agent refused its copy by a reset, at once or at its deadline in the queue, although another copy had opened the flow.

Change: only the first copy is refused by a reset, and only if it has waited for less than 100 ms in sockets (measured by the kernel) and queues; the envelope carries that time in a field that older builds ignore. Other copies are dropped. A balancer looks up the holder of a flow for a first copy, too.

--- a/modules/carawayshelf_io/packet_agent_worker.cpp
+++ b/modules/carawayshelf_io/packet_agent_worker.cpp
@@ -116,6 +116,7 @@
             counters_.drops.add(packet_drop::malformed);
             continue;
         }
+        envelope.waited += received_.waited(i);
         core_.handle_envelope(instant, envelope, received_.mutable_datagram(i) + header_size,
                               bytes.size() - header_size);
     }
--- a/modules/carawayshelf_io/packet_balancer_daemon.cpp
+++ b/modules/carawayshelf_io/packet_balancer_daemon.cpp
@@ -68,6 +68,7 @@
         {
             return failed;
         }
+        enable_arrival_times(entry_socket_.get()); // sockets_ logs if this isn't supported.
         thread_ = std::thread([this] { run(); });
         return {};
     }
@@ -154,7 +155,8 @@
                 counters_.drops.add(packet_drop::malformed);
                 continue;
             }
-            core_.handle_packet(instant, table, is_table_fresh, received_.datagram(i));
+            core_.handle_packet(instant, table, is_table_fresh, received_.datagram(i),
+                                received_.waited(i));
         }
         sockets_.flush();
         return count == batch_size;
--- a/modules/carawayshelf_io/packet_sockets.cpp
+++ b/modules/carawayshelf_io/packet_sockets.cpp
@@ -1,5 +1,7 @@
 #include "carawayshelf_io/packet_sockets.hpp"
 
+#include "carawayshelf_io/json_log.hpp"
+
 namespace carawayshelf
 {
 
@@ -20,6 +22,11 @@
     {
         return failed;
     }
+    if (!enable_arrival_times(data_socket_.get()))
+    {
+        log_info("this system doesn't record when datagrams arrive; packets that wait in socket "
+                 "buffers count as having just arrived");
+    }
     server_address_ = server;
     return server_side.is_none() ? failure{} : open_udp_socket(server_side, server_side_socket_);
 }
--- a/modules/carawayshelf_io/udp_socket.cpp
+++ b/modules/carawayshelf_io/udp_socket.cpp
@@ -13,6 +13,23 @@
 
 constexpr int socket_buffer_bytes = 4 * 1024 * 1024;
 
+/** Time since the arrival that the kernel recorded for a datagram; 0 if it recorded none. If the
+    system time is set in between, the result is wrong by that step. */
+duration waiting_time(msghdr& message, const timespec& now)
+{
+    const cmsghdr* control = CMSG_FIRSTHDR(&message);
+    if (control == nullptr || control->cmsg_level != SOL_SOCKET ||
+        control->cmsg_type != SCM_TIMESTAMPNS)
+    {
+        return duration(0);
+    }
+    timespec arrived{};
+    std::memcpy(&arrived, CMSG_DATA(control), sizeof(arrived));
+    const std::chrono::nanoseconds waited = std::chrono::seconds(now.tv_sec - arrived.tv_sec) +
+                                            std::chrono::nanoseconds(now.tv_nsec - arrived.tv_nsec);
+    return std::chrono::duration_cast<duration>(std::chrono::abs(waited));
+}
+
 } // namespace
 
 sockaddr_in to_socket_address(const endpoint& value)
@@ -80,6 +97,12 @@
     ::setsockopt(fd, IPPROTO_IP, IP_RECVERR, &on, sizeof(on));
 }
 
+bool enable_arrival_times(int fd)
+{
+    const int on = 1;
+    return ::setsockopt(fd, SOL_SOCKET, SO_TIMESTAMPNS, &on, sizeof(on)) == 0;
+}
+
 endpoint pop_unreachable_peer(int fd)
 {
     sockaddr_in receiver{};
@@ -119,12 +142,24 @@
 
 std::size_t receive_batch::receive(int fd)
 {
-    for (mmsghdr& message : messages_)
+    for (std::size_t i = 0; i < batch_size; ++i)
     {
-        message.msg_hdr.msg_namelen = sizeof(sockaddr_in);
+        messages_[i].msg_hdr.msg_namelen = sizeof(sockaddr_in);
+        messages_[i].msg_hdr.msg_control = arrival_times_[i].bytes.data();
+        messages_[i].msg_hdr.msg_controllen = arrival_times_[i].bytes.size();
     }
     const int received = ::recvmmsg(fd, messages_.data(), batch_size, MSG_DONTWAIT, nullptr);
-    return received > 0 ? static_cast<std::size_t>(received) : 0;
+    if (received <= 0)
+    {
+        return 0;
+    }
+    timespec now{};
+    ::clock_gettime(CLOCK_REALTIME, &now);
+    for (std::size_t i = 0; i < static_cast<std::size_t>(received); ++i)
+    {
+        waited_[i] = waiting_time(messages_[i].msg_hdr, now);
+    }
+    return static_cast<std::size_t>(received);
 }
 
 send_batch::send_batch() : headers_(batch_size)
--- a/modules/carawayshelf_io/udp_socket.hpp
+++ b/modules/carawayshelf_io/udp_socket.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carawayshelf_core/clock_time.hpp"
 #include "carawayshelf_core/endpoint.hpp"
 #include "carawayshelf_core/error.hpp"
 #include "carawayshelf_io/unique_fd.hpp"
@@ -10,6 +11,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <ctime>
 #include <string_view>
 #include <vector>
 
@@ -33,6 +35,11 @@
     as a closed port. */
 void enable_error_queue(int fd);
 
+/** Lets a socket record when each datagram arrives (SO_TIMESTAMPNS); see receive_batch::waited().
+   The kernel may start with a delay; until then, datagrams count as having just arrived. Returns
+   whether the system supports it. */
+bool enable_arrival_times(int fd);
+
 /** Removes one error from the error queue without blocking. Returns the receiver that could not be
     reached, or none if the queue is empty. */
 endpoint pop_unreachable_peer(int fd);
@@ -72,6 +79,12 @@
         return from_socket_address(senders_[index]);
     }
 
+    /** How long the datagram waited in the socket's buffer; 0 unless arrival times are enabled. */
+    duration waited(std::size_t index) const
+    {
+        return waited_[index];
+    }
+
     /** Whether the datagram was longer than max_datagram_bytes. */
     bool is_truncated(std::size_t index) const
     {
@@ -79,10 +92,17 @@
     }
 
 private:
+    struct alignas(cmsghdr) arrival_time_buffer
+    {
+        std::array<char, CMSG_SPACE(sizeof(timespec))> bytes;
+    };
+
     std::vector<std::array<char, max_datagram_bytes>> buffers_;
     std::array<sockaddr_in, batch_size> senders_{};
     std::array<iovec, batch_size> iovecs_{};
     std::array<mmsghdr, batch_size> messages_{};
+    std::array<arrival_time_buffer, batch_size> arrival_times_{};
+    std::array<duration, batch_size> waited_{};
 };
 
 /** Collects datagrams for one sendmmsg call. Each consists of a header, which is stored here, and a
--- a/modules/carawayshelf_packets/early_packets.hpp
+++ b/modules/carawayshelf_packets/early_packets.hpp
@@ -28,7 +28,7 @@
     struct item
     {
         time_point arrived;
-        packet_envelope envelope; ///< Empty at a balancer.
+        packet_envelope envelope; ///< At a balancer, with the waiting time only.
         std::string packet;
     };
 
--- a/modules/carawayshelf_packets/opening_queue.hpp
+++ b/modules/carawayshelf_packets/opening_queue.hpp
@@ -22,10 +22,19 @@
     packet_envelope envelope;
     packet_flow flow;
     std::string packet;
-    time_point deadline; ///< The packet is refused after this.
+    time_point deadline; ///< The packet is removed after this.
     time_point late_at;  ///< An answer to a packet that is admitted after this exceeds the route's
                          ///< target latency.
     time_point client_gone_at; ///< Unless the client retransmits by then, it has given up.
+    time_point added_at;       ///< When it was added to the queue.
+
+    /** The envelope, with the time in the queue added to envelope.waited. */
+    packet_envelope envelope_at(time_point now) const
+    {
+        packet_envelope result = envelope;
+        result.waited += now - added_at;
+        return result;
+    }
 };
 
 /** Queue of opening packets for one backend server. Packets that can still be answered within the
--- a/modules/carawayshelf_packets/opening_timing.hpp
+++ b/modules/carawayshelf_packets/opening_timing.hpp
@@ -18,6 +18,11 @@
 inline constexpr duration second_retransmission_after = std::chrono::milliseconds(600);
 inline constexpr duration attempt_timeout = std::chrono::milliseconds(1400);
 
+/** An opening packet is refused by a reset only if it has waited for less than this: the reset must
+    arrive before the client retransmits, since a retransmission may open the flow elsewhere. The
+    rest of first_retransmission_after is left to the network. */
+inline constexpr duration max_wait_before_refusal = std::chrono::milliseconds(100);
+
 /** Allowance for network delays. */
 inline constexpr duration delay_allowance = std::chrono::milliseconds(50);
 
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -372,7 +372,7 @@
     opening_queue_.add(now, route.priority,
                        {envelope, packet.flow(), std::string(packet.bytes()), now + remaining,
                         now + time_until_late,
-                        now + opening_timing::max_silence_after(retransmission)});
+                        now + opening_timing::max_silence_after(retransmission), now});
     // So that the balancer sends retransmissions here.
     notify_balancer(now, packet_envelope_kind::holder, packet.flow(), envelope.balancer);
     return true;
@@ -403,27 +403,32 @@
             continue;
         }
         // A packet taken from the queue never returns to it: that would repeat this loop forever.
+        const packet_envelope envelope = next.envelope_at(now);
         const forward_reason refusal =
-            check_admission(now, next.envelope, *route, packet.header.destination);
+            check_admission(now, envelope, *route, packet.header.destination);
         if (refusal == forward_reason::none)
         {
-            admit_flow(now, next.envelope, packet);
+            admit_flow(now, envelope, packet);
         }
         else
         {
-            forward(now, next.envelope, *route, packet, refusal);
+            forward(now, envelope, *route, packet, refusal);
         }
         port_.flush();
     }
 }
 
-/** Resets the flow. If the opening packet waited for the first table, only drops it, because a
-    retransmission may have opened the flow elsewhere. */
+/** Resets the flow, unless another copy of its opening packet may have opened it at another member:
+    that copy and its answer may still be on their way, so no agent can rule this out. In that case
+    the packet is only dropped, and the client gives up by itself. */
 void packet_agent::refuse(time_point now, const packet_envelope& envelope,
                           const packet_header& header)
 {
     notify_balancer(now, packet_envelope_kind::load, {}, envelope.balancer);
-    if ((envelope.flags & opening_flag_waited_for_table) != 0)
+    const bool is_only_copy = header.acknowledged == 0 &&
+                              envelope.waited < opening_timing::max_wait_before_refusal &&
+                              (envelope.flags & opening_flag_waited_for_table) == 0;
+    if (!is_only_copy)
     {
         drop_packet(packet_drop::too_late, envelope, header);
         return;
@@ -438,7 +443,7 @@
         packet_header header;
         if (format_.decode(expired.packet, header))
         {
-            refuse(now, expired.envelope, header);
+            refuse(now, expired.envelope_at(now), header);
         }
     }
 }
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -94,7 +94,7 @@
         @param size  length of the packet in bytes */
     void handle_server_packet(time_point now, char* packet, std::size_t size);
 
-    /** Refuses queued packets after their deadline, removes idle flows and ends inquiries. Call
+    /** Removes queued packets after their deadline, removes idle flows and ends inquiries. Call
         every tick_interval. */
     void tick(time_point now);
 
--- a/modules/carawayshelf_packets/packet_balancer.cpp
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -37,15 +37,17 @@
 }
 
 void packet_balancer::handle_packet(time_point now, const packet_table& table, bool is_fresh,
-                                    std::string_view bytes)
+                                    std::string_view bytes, duration waited)
 {
     ++counters_.received;
+    packet_envelope envelope;
+    envelope.waited = waited;
     if (table.held() == 0)
     {
-        counters_.drops.add(packet_drop::no_table, early_packets_.add(now, {}, bytes));
+        counters_.drops.add(packet_drop::no_table, early_packets_.add(now, envelope, bytes));
         return;
     }
-    relay(now, table, is_fresh, {}, bytes);
+    relay(now, table, is_fresh, envelope, bytes);
 }
 
 void packet_balancer::relay(time_point now, const packet_table& table, bool is_fresh,
@@ -68,7 +70,7 @@
     }
     if (header.is_opening)
     {
-        place_flow(now, table, *route, header, envelope);
+        place_flow(now, table, *route, envelope);
     }
     else
     {
@@ -131,12 +133,11 @@
 }
 
 void packet_balancer::place_flow(time_point now, const packet_table& table,
-                                 const packet_route& route, const packet_header& header,
-                                 packet_envelope& envelope)
+                                 const packet_route& route, packet_envelope& envelope)
 {
     const std::uint64_t flow_hash = hash_flow(envelope.flow);
-    const bool is_retransmission = header.acknowledged != 0;
-    const endpoint known = is_retransmission ? cache_.find(flow_hash, now) : endpoint{};
+    // Also the first opening packet may arrive after a retransmission that was placed.
+    const endpoint known = cache_.find(flow_hash, now);
     if (table.has_agent(known) && !loads_.estimate(now, known).is_suspect)
     {
         envelope.add_candidate(known);
--- a/modules/carawayshelf_packets/packet_balancer.hpp
+++ b/modules/carawayshelf_packets/packet_balancer.hpp
@@ -34,9 +34,10 @@
 
     /** Handles a client's packet. One that arrives before the first table is kept for it.
         @param is_fresh  whether control confirmed the table within
-       packet_agent::max_confirmation_age */
+                         packet_agent::max_confirmation_age
+        @param waited    how long the packet has waited since it arrived */
     void handle_packet(time_point now, const packet_table& table, bool is_fresh,
-                       std::string_view bytes);
+                       std::string_view bytes, duration waited = duration(0));
 
     /** Handles the packets that arrived before the first table. Call once there is a table. */
     void send_early_packets(time_point now, const packet_table& table, bool is_fresh);
@@ -74,7 +75,7 @@
     void report_decision(const char* action, std::string_view reason,
                          const packet_envelope& envelope, const packet_header& header);
     void place_flow(time_point now, const packet_table& table, const packet_route& route,
-                    const packet_header& header, packet_envelope& envelope);
+                    packet_envelope& envelope);
     bool is_unreachable(time_point now, const packet_table& table, const endpoint& agent);
     void search_flow(time_point now, const packet_table& table, const packet_route& route,
                      packet_envelope& envelope);
--- a/modules/carawayshelf_packets/packet_counters.hpp
+++ b/modules/carawayshelf_packets/packet_counters.hpp
@@ -20,7 +20,7 @@
     client_gone, ///< The client had given up before there was room for its flow.
     send_failed,
     no_table, ///< It arrived before the first table, and was too old or exceeded the memory limit.
-    too_late, ///< An opening packet that waited for the first table and then was not admitted.
+    too_late, ///< An opening packet that no member could admit, and that is too old for a reset.
     too_many_inquiries
 };
 
--- a/modules/carawayshelf_wire/packet_envelope.cpp
+++ b/modules/carawayshelf_wire/packet_envelope.cpp
@@ -12,7 +12,8 @@
 {
 
 constexpr std::uint32_t packet_envelope_magic = 0x43525032;
-constexpr duration service_time_unit = std::chrono::microseconds(100);
+/** Of service_time and waited. */
+constexpr duration time_unit = std::chrono::microseconds(100);
 
 static_assert(sizeof(buffers::packet_envelope_header) +
                       max_candidates * sizeof(buffers::packet_candidate) <=
@@ -39,12 +40,13 @@
 
 std::size_t encode_packet_envelope(const packet_envelope& value, std::uint8_t* buffer)
 {
+    const duration time =
+        value.kind == packet_envelope_kind::packet ? value.waited : value.service_time;
     const buffers::packet_envelope_header header(
         value.table_generation, packet_envelope_magic, value.balancer.address,
         value.flow.client.address, value.flow.service.address, value.balancer.port,
         value.flow.client.port, value.flow.service.port, value.load,
-        static_cast<std::uint16_t>(
-            std::min<std::int64_t>(value.service_time / service_time_unit, UINT16_MAX)),
+        static_cast<std::uint16_t>(std::min<std::int64_t>(time / time_unit, UINT16_MAX)),
         static_cast<std::uint8_t>(value.kind), value.position, value.candidate_count, value.flags,
         value.slots);
     std::memcpy(buffer, &header, sizeof(header));
@@ -81,7 +83,8 @@
     value.flow.client = {header.client_address(), header.client_port()};
     value.flow.service = {header.service_address(), header.service_port()};
     value.load = header.load();
-    value.service_time = service_time_unit * header.service_time_100us();
+    const duration time = time_unit * header.service_time_100us();
+    (value.kind == packet_envelope_kind::packet ? value.waited : value.service_time) = time;
     value.slots = header.slots();
     value.flags = header.flags();
     value.position = header.position();
--- a/modules/carawayshelf_wire/packet_envelope.hpp
+++ b/modules/carawayshelf_wire/packet_envelope.hpp
@@ -38,8 +38,7 @@
 /** Bits of packet_envelope::flags with an opening packet. The mask selects the position, counted
     from 1, of the least loaded candidate that could queue the packet; 0 while there is none. */
 constexpr std::uint8_t opening_least_loaded_mask = 0x3F;
-/** The packet has waited for a process's first table, so a later retransmission may have opened the
-    flow in the meantime. */
+/** The packet has waited for a process's first table, so it is late. */
 constexpr std::uint8_t opening_flag_waited_for_table = 0x40;
 /** The candidate must queue or refuse the packet rather than forward it. */
 constexpr std::uint8_t opening_flag_last_candidate = 0x80;
@@ -58,6 +57,8 @@
         packet: load of the candidate that opening_least_loaded_mask selects, in requests. */
     std::uint16_t load = 0;
     duration service_time{0}; ///< In a load report: of a request that finds a free slot.
+    duration waited{0};       ///< With a client's packet: total time that it has waited in the
+                              ///< processes that handled it. Encoded in place of service_time.
     std::uint8_t slots = 0;   ///< In a load report: requests served concurrently.
     std::uint8_t flags = 0;
     /** Index of the current candidate; those before it returned the packet. */
--- /dev/null
+++ b/tests/process/flows.sh
@@ -0,0 +1,52 @@
+#!/usr/bin/env bash
+# Checks with real processes that open flows stay whole. Prints the events and the result of each run,
+# and exits with 1 if a guarantee was broken. Run by CI.
+#
+#   tests/process/flows.sh [FIRST_SEED LAST_SEED]    with seeds: runs the scenarios drawn by each
+set -uo pipefail
+cd "$(dirname "$0")/../.."
+: "${CLUSTER_BUILD:=$PWD/build/release}"
+test_program="$CLUSTER_BUILD/tests/flow_continuity"
+failed=0
+network=80
+
+# start_run NAME FLAGS...: starts a run in the background, on loopback addresses of its own.
+declare -A run_pid=() run_output=()
+start_run() {
+    local name="$1"
+    shift
+    network=$((network + 1))
+    run_output[$name]="$(mktemp)"
+    "$test_program" "--program=$CLUSTER_BUILD/carawayshelf" "--network=$network" "$@" \
+        >"${run_output[$name]}" 2>&1 &
+    run_pid[$name]=$!
+}
+
+# finish_runs: waits for the runs that were started, and prints their outputs.
+finish_runs() {
+    local name
+    for name in "${!run_pid[@]}"; do
+        wait "${run_pid[$name]}" || failed=1
+        echo "== $name"
+        cat "${run_output[$name]}"
+        rm -f "${run_output[$name]}"
+    done
+    run_pid=()
+}
+trap 'kill $(jobs -p) 2>/dev/null' EXIT
+
+if [ "$#" -eq 2 ]; then
+    for ((seed = $1; seed <= $2; ++seed)); do
+        start_run "seed $seed" "--seed=$seed"
+        [ "${#run_pid[@]}" -lt 4 ] || finish_runs
+    done
+    finish_runs
+    exit "$failed"
+fi
+
+# Short flows at full servers, so that opening packets are queued and refused, while balancers are
+# restarted and some opening packets arrive late.
+start_run refused_openings --scenario=balancer-roll --balancers=6 --flows=700 --flow_seconds=3 \
+    --pause_seconds=0.8 --late_copies=0.03
+finish_runs
+exit "$failed"
--- a/tests/unit/packet_balancer_test.cpp
+++ b/tests/unit/packet_balancer_test.cpp
@@ -418,6 +418,33 @@
     }
 }
 
+/** A first opening packet that arrived after a retransmission was placed on a second member, which
+    could refuse it by a reset of the open flow. */
+BOOST_AUTO_TEST_CASE(a_late_first_opening_packet_goes_to_the_holder_of_its_flow)
+{
+    balancer_fixture fixture;
+    fixture.put_table(42);
+    packet_envelope holder;
+    holder.kind = packet_envelope_kind::holder;
+    holder.flow = {{0x64400001, 2000}, address};
+    fixture.core->handle_envelope(fixture.now, holder, agent_at(33));
+    fixture.send(2000);
+    BOOST_TEST((fixture.last_envelope.candidates[0] == agent_at(33)));
+}
+
+BOOST_AUTO_TEST_CASE(the_time_in_the_socket_is_sent_with_an_opening_packet)
+{
+    balancer_fixture fixture;
+    fixture.put_table(2);
+    test_packets::layout packet;
+    packet.header.source = {0x64400001, 2000};
+    packet.header.destination = address;
+    packet.header.is_opening = true;
+    fixture.core->handle_packet(fixture.now, fixture.table, true, test_packets::encode(packet),
+                                std::chrono::milliseconds(70));
+    BOOST_TEST((fixture.last_envelope.waited == std::chrono::milliseconds(70)));
+}
+
 BOOST_AUTO_TEST_CASE(new_flows_are_spread_before_the_first_load_reports)
 {
     balancer_fixture fixture;
--- a/tests/unit/wire_test.cpp
+++ b/tests/unit/wire_test.cpp
@@ -7,6 +7,7 @@
 #include "carawayshelf_wire/compression.hpp"
 #include "carawayshelf_wire/envelope.hpp"
 #include "carawayshelf_wire/frame_codec.hpp"
+#include "carawayshelf_wire/packet_envelope.hpp"
 #include "carawayshelf_wire/state_codec.hpp"
 #include "mutator.hpp"
 #include "wire_samples.hpp"
@@ -87,6 +88,28 @@
                 envelope_fault::wrong_magic));
 }
 
+BOOST_AUTO_TEST_CASE(a_packet_envelope_survives_an_encode_decode_round_trip)
+{
+    for (const packet_envelope_kind kind :
+         {packet_envelope_kind::packet, packet_envelope_kind::load})
+    {
+        const bool carries_packet = kind == packet_envelope_kind::packet;
+        packet_envelope sent;
+        sent.kind = kind;
+        (carries_packet ? sent.waited : sent.service_time) = std::chrono::milliseconds(123);
+        sent.add_candidate({0x7F000001, 7000});
+        std::array<std::uint8_t, max_packet_envelope_bytes> bytes{};
+        const std::size_t size = encode_packet_envelope(sent, bytes.data());
+        packet_envelope received;
+        std::size_t header_size = 0;
+        BOOST_REQUIRE(decode_packet_envelope(bytes.data(), size, received, header_size));
+        BOOST_TEST(header_size == size);
+        BOOST_TEST((received.waited == sent.waited));
+        BOOST_TEST((received.service_time == sent.service_time));
+        BOOST_TEST(received.has_candidate({0x7F000001, 7000}));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_coap_message_survives_an_encode_decode_round_trip)
 {
     const coap_message sent = make_coap_message();
