Keep packets of unknown flows from servers whose agents know all flows

Cause: each retransmission started a search in which each likely agent passed the packet to its server, because an agent may have restarted and not know all flows of its server.

Change: control tells an agent with its first join whether another member had its data address. If none had, the agent knows all flows and answers a search by itself. After a restart it asks its server as before, for 75 s. Older control instances don't set the new field, and the agent asks its server.

--- a/modules/carawayshelf_catalogue/change.hpp
+++ b/modules/carawayshelf_catalogue/change.hpp
@@ -112,6 +112,8 @@
     generation made_at = 0;    ///< Generation that includes the change; zero if there is none.
     std::uint64_t version = 0; ///< Version after the change; the current one in a conflict.
     member_id member = 0;      ///< Member that announce_member added or found.
+    /** Whether announce_member added a member, and no other one had its data address then. */
+    bool is_first_at_address = false;
 };
 
 /** Returns the id of an operator's change, and zero for a change that no operator makes.
--- a/modules/carawayshelf_catalogue/cluster_state.cpp
+++ b/modules/carawayshelf_catalogue/cluster_state.cpp
@@ -268,6 +268,7 @@
     reassign(now, added.service);
     change_result result = accept(now);
     result.member = added.id;
+    result.is_first_at_address = replaced.empty();
     return result;
 }
 
--- a/modules/carawayshelf_io/packet_agent_daemon.cpp
+++ b/modules/carawayshelf_io/packet_agent_daemon.cpp
@@ -180,6 +180,12 @@
         return (static_cast<std::uint64_t>(device()) << 32U) | device();
     }
 
+    void note_first_incarnation() override
+    {
+        worker_.post([](time_point /*instant*/, packet_agent& core)
+                     { core.note_first_incarnation(); });
+    }
+
     void log_change(const std::string& what) override
     {
         log_info(what);
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -38,6 +38,7 @@
     const bool is_first = table_->held() == 0;
     update_settle_times(now, *table);
     table_ = std::move(table);
+    first_table_at_ = is_first ? now : first_table_at_;
     if (is_first && !has_server_)
     {
         use_recorded_state(now);
@@ -181,6 +182,13 @@
     return now - announced_at_ < options_.announce_interval * max_missed_announcements;
 }
 
+/** Whether each open flow of the backend server is in flows_. */
+bool packet_agent::knows_all_flows(time_point now) const
+{
+    return has_no_earlier_flows_ ||
+           (first_table_at_ != time_point() && now - first_table_at_ >= max_flow_age);
+}
+
 bool packet_agent::is_cold(time_point now) const
 {
     return now < cold_until_ || needs_announcement_;
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -68,6 +68,18 @@
     /** Records that control has confirmed at this time that the table is the newest. */
     void confirm_table(time_point now);
 
+    /** Flows that an earlier incarnation of the agent admitted have ended after this: longer than
+        the users' flows, which last 60 s at most. */
+    static constexpr duration max_flow_age = std::chrono::seconds(75);
+
+    /** Records that no earlier incarnation of the agent admitted flows that may still be open, so
+        that this one knows all flows of its backend server. Otherwise it learns that only after
+        max_flow_age. While it knows them, a packet of another flow does not reach the server. */
+    void note_first_incarnation()
+    {
+        has_no_earlier_flows_ = true;
+    }
+
     /** After a restart, the agent uses the state that control has recorded until its backend server
         announces itself, but at most for this many announcement intervals: one interval, plus
         possible delays. */
@@ -174,6 +186,7 @@
     bool is_settled(time_point now, const endpoint& address) const;
     bool is_cold(time_point now) const;
     bool is_server_known(time_point now) const;
+    bool knows_all_flows(time_point now) const;
     void admit_flow(time_point now, const packet_envelope& envelope, const client_packet& packet);
     void forward_or_queue(time_point now, packet_envelope envelope, const packet_route& route,
                           const client_packet& packet, forward_reason reason);
@@ -235,6 +248,8 @@
     time_point membership_settled_at_; ///< From then on all others know this member; see
                                        ///< settle_time.
     bool is_member_ = false;
+    time_point first_table_at_; ///< time_point() before the first table.
+    bool has_no_earlier_flows_ = false;
     /** Addresses of routes that were assigned to the service less than settle_time ago. */
     std::unordered_map<endpoint, time_point> newly_routed_since_;
 
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -18,8 +18,10 @@
     3 ms, plus an allowance. If it doesn't, it has given up, and its slot is freed. */
 constexpr duration first_request_timeout = std::chrono::milliseconds(50);
 
-/** An idle flow is removed after this, which is longer than the pauses of long flows. */
+/** An idle flow is removed after this, which is longer than the pauses of long flows, or after the
+    configured timeout of idle flows plus an allowance, if that is longer. */
 constexpr duration idle_flow_lifetime = std::chrono::seconds(20);
+constexpr duration idle_timeout_allowance = std::chrono::seconds(5);
 constexpr duration closed_flow_lifetime = std::chrono::seconds(2);
 
 /** Data bytes of a full packet. A packet with fewer data bytes ends an answer. */
@@ -91,6 +93,11 @@
             forward(now, envelope, route, packet, forward_reason::wrong_service);
             return;
         }
+        if (knows_all_flows(now))
+        {
+            forward(now, envelope, route, packet, forward_reason::not_here);
+            return;
+        }
         found = flows_.emplace(packet.flow(), flow{}).first;
     }
     flow& item = found->second;
@@ -393,6 +400,8 @@
 
 void packet_agent::erase_idle_flows(time_point now)
 {
+    const duration idle_lifetime =
+        std::max(idle_flow_lifetime, table_->idle_timeout() + idle_timeout_allowance);
     for (auto item = flows_.begin(); item != flows_.end();)
     {
         const auto current = item++;
@@ -403,7 +412,7 @@
         {
             end_request(now, known, false);
         }
-        if (age > (is_closed ? closed_flow_lifetime : idle_flow_lifetime))
+        if (age > (is_closed ? closed_flow_lifetime : idle_lifetime))
         {
             erase_flow(now, current);
         }
--- a/modules/carawayshelf_packets/packet_table.cpp
+++ b/modules/carawayshelf_packets/packet_table.cpp
@@ -85,6 +85,7 @@
 {
     const std::shared_ptr<route_set> result = std::make_shared<route_set>();
     result->removed = before.routes_->removed;
+    result->idle_timeout = std::chrono::milliseconds(rules.configuration.idle_timeout_ms);
     for (const auto& [address, route] : before.routes_->routes)
     {
         result->removed.insert(address);
--- a/modules/carawayshelf_packets/packet_table.hpp
+++ b/modules/carawayshelf_packets/packet_table.hpp
@@ -2,6 +2,7 @@
 
 #include "carawayshelf_catalogue/subscriber_table.hpp"
 #include "carawayshelf_catalogue/traffic_configuration.hpp"
+#include "carawayshelf_core/clock_time.hpp"
 #include "carawayshelf_packets/agent_set.hpp"
 
 #include <memory>
@@ -125,6 +126,12 @@
     /** Maximum number of flows at one backend server of a service; 0 if there is no limit. */
     std::uint32_t max_flows(const std::string& service) const;
 
+    /** After this time without a packet, a flow may be discarded; 0 if none is configured. */
+    duration idle_timeout() const
+    {
+        return routes_->idle_timeout;
+    }
+
     generation held() const
     {
         return held_;
@@ -140,6 +147,7 @@
         std::unordered_map<endpoint, packet_route> routes;
         std::unordered_set<endpoint> removed;
         std::unordered_map<std::string, service_rules> rules;
+        duration idle_timeout{0};
     };
 
     void make_routes(const traffic_rules& rules, const packet_table& before);
--- a/modules/carawayshelf_packets/server_membership.cpp
+++ b/modules/carawayshelf_packets/server_membership.cpp
@@ -1,5 +1,7 @@
 #include "carawayshelf_packets/server_membership.hpp"
 
+#include <utility>
+
 namespace carawayshelf
 {
 
@@ -176,6 +178,10 @@
     }
     member_ = result.member;
     joined_at_ = result.made_at;
+    if (!std::exchange(has_joined_, true) && result.is_first_at_address)
+    {
+        port_.note_first_incarnation();
+    }
     if (epoch != epoch_)
     {
         leave(); // The server departed or was replaced before the answer came.
--- a/modules/carawayshelf_packets/server_membership.hpp
+++ b/modules/carawayshelf_packets/server_membership.hpp
@@ -34,6 +34,10 @@
     /** Returns an epoch that no earlier member had. */
     virtual std::uint64_t new_epoch() = 0;
 
+    /** Control has never known another member at this agent's data address, or has forgotten it: no
+        earlier incarnation of the agent has admitted flows that may still be open. */
+    virtual void note_first_incarnation() = 0;
+
     /** Logs a change of the membership. */
     virtual void log_change(const std::string& message) = 0;
 };
@@ -103,6 +107,7 @@
     bool is_draining_ = false;
     bool is_cold_ = false;
     bool is_joining_ = false;
+    bool has_joined_ = false; ///< Since this process started.
     bool is_draining_recorded_ = false;
     member_id member_ = 0;
     generation joined_at_ = 0;
--- a/modules/carawayshelf_wire/state_codec.cpp
+++ b/modules/carawayshelf_wire/state_codec.cpp
@@ -319,6 +319,7 @@
     packed->made_at = value.made_at;
     packed->version = value.version;
     packed->member_id = value.member;
+    packed->first_at_address = value.is_first_at_address;
     return packed;
 }
 
@@ -330,6 +331,7 @@
     value.made_at = packed.made_at;
     value.version = packed.version;
     value.member = packed.member_id;
+    value.is_first_at_address = packed.first_at_address;
     return value;
 }
 
--- a/tests/fakes/packet_simulation.cpp
+++ b/tests/fakes/packet_simulation.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace carawayshelf::fakes
 {
@@ -383,6 +384,7 @@
     node.core =
         std::make_unique<packet_agent>(own, format_, node.port, node.counters, node.observer);
     node.epoch = random_();
+    node.has_joined = false;
     const std::uint64_t incarnation = node.incarnation;
     schedule(std::chrono::milliseconds(20 + random(200)),
              [this, index, incarnation]
@@ -467,6 +469,11 @@
     edit.state = member_state::warm;
     const change_result known = cluster_state_.apply(++last_generation_, edit);
     node.member = known.member;
+    if (!std::exchange(node.has_joined, true) &&
+        (known.is_first_at_address || faults_.forget_earlier_flows))
+    {
+        node.core->note_first_incarnation();
+    }
     if (known.made_at == last_generation_)
     {
         publish_soon();
--- a/tests/fakes/packet_simulation.hpp
+++ b/tests/fakes/packet_simulation.hpp
@@ -56,6 +56,7 @@
     bool corrupt_packets = false;              ///< The content of packets in envelopes is changed.
     bool announce_wrong_service = false;       ///< Settings and announcements name another service.
     bool probe_all_on_each_table = false;      ///< A balancer probes all agents at each table.
+    bool forget_earlier_flows = false; ///< A restarted agent believes that it knows all flows.
 };
 
 /** Simulates, in virtual time, balancers, agents, backend servers, clients and a control whose
--- a/tests/fakes/packet_simulation_nodes.hpp
+++ b/tests/fakes/packet_simulation_nodes.hpp
@@ -53,6 +53,7 @@
     std::unique_ptr<packet_agent> core;
     member_id member = 0;
     std::uint64_t epoch = 0;
+    bool has_joined = false; ///< Since the agent started.
 
     // The agent's backend server.
     std::uint64_t server_incarnation = 1; ///< Incremented when another server starts in its place.
--- a/tests/process/flows.sh
+++ b/tests/process/flows.sh
@@ -48,5 +48,7 @@
 # restarted and some opening packets arrive late.
 start_run refused_openings --scenario=balancer-roll --balancers=6 --flows=700 --flow_seconds=3 \
     --pause_seconds=0.8 --late_copies=0.03
+# An agent is frozen, and another is down for 6 s, beside live servers, while balancers are restarted.
+start_run unreachable_agents --scenario=agent-freeze,agent-down,balancer-roll --seed=3
 finish_runs
 exit "$failed"
--- a/tests/unit/catalogue_test.cpp
+++ b/tests/unit/catalogue_test.cpp
@@ -8,6 +8,7 @@
 #include "carawayshelf_wire/state_codec.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <control_generated.h>
 
 namespace carawayshelf
 {
@@ -138,6 +139,19 @@
     BOOST_TEST((apply(out).error == error_kind::unknown_domain));
 }
 
+BOOST_AUTO_TEST_CASE(a_join_tells_whether_another_member_had_its_address)
+{
+    const announce_member first{"agent-1", "cuyo-a", "ordering", {0x7F000401, 7201}, 1};
+    const change_result joined = apply(first);
+    BOOST_TEST(joined.is_first_at_address);
+    BOOST_TEST(unpack_result(*pack_result(joined)).is_first_at_address);
+    // Not known of a proposal that is repeated.
+    BOOST_TEST(!apply(first).is_first_at_address);
+    announce_member next = first;
+    next.epoch = 2;
+    BOOST_TEST(!apply(next).is_first_at_address);
+}
+
 BOOST_AUTO_TEST_CASE(an_announcement_is_idempotent_and_a_new_epoch_is_a_new_member)
 {
     put("ordering", 0);
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -67,6 +67,7 @@
     {
         traffic_configuration configuration;
         configuration.version = ++version;
+        configuration.idle_timeout_ms = idle_timeout_ms;
         configuration.services = {{"ordering", max_flows, cold_rate}, {"catalogue", 0, 0.0}};
         traffic_route route;
         route.name = "orders";
@@ -233,6 +234,7 @@
     std::uint64_t version = 0;
     std::uint32_t timeout_ms = 500;
     std::uint32_t max_flows = 0; ///< Of the service "ordering"; 0: no limit.
+    std::uint32_t idle_timeout_ms = 15000;
     std::uint64_t announcements = 0;
     subscriber_table table;
     std::shared_ptr<const packet_table> traffic_table = std::make_shared<const packet_table>();
@@ -507,6 +509,55 @@
     BOOST_TEST((holder_recipients == std::set<endpoint>{balancer_data, other_data}));
 }
 
+/** The packets of an open flow whose agent was frozen went to all other servers, again and again.
+ */
+BOOST_AUTO_TEST_CASE(an_agent_that_knows_all_flows_keeps_other_packets_from_its_server)
+{
+    agent_fixture fixture;
+    fixture.start();
+    fixture.core->note_first_incarnation();
+    fixture.open(2000);
+    fixture.send(fixture.packet_of(2000, false), {own_data});
+    BOOST_TEST(fixture.to_server.size() == 2U);
+    fixture.send(fixture.packet_of(2001, false), {own_data, other_data});
+    BOOST_TEST((fixture.envelopes.back().to == other_data));
+    packet_envelope inquiry;
+    inquiry.kind = packet_envelope_kind::inquiry;
+    inquiry.balancer = balancer_data;
+    inquiry.add_candidate(other_data);
+    std::string bytes = test_packets::encode(fixture.packet_of(2001, false));
+    fixture.core->handle_envelope(fixture.now, inquiry, bytes.data(), bytes.size());
+    BOOST_TEST((fixture.envelopes.back().envelope.kind == packet_envelope_kind::absent));
+    BOOST_TEST(fixture.to_server.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_agent_asks_its_server_until_its_earlier_flows_have_ended)
+{
+    agent_fixture fixture;
+    fixture.start();
+    fixture.now += packet_agent::max_flow_age - duration(1);
+    fixture.send(fixture.packet_of(2000, false), {own_data, other_data});
+    BOOST_TEST(fixture.to_server.size() == 1U);
+    fixture.now += duration(1);
+    fixture.send(fixture.packet_of(2001, false), {own_data, other_data});
+    BOOST_TEST(fixture.to_server.size() == 1U);
+    BOOST_TEST((fixture.envelopes.back().to == other_data));
+}
+
+BOOST_AUTO_TEST_CASE(an_agent_knows_its_idle_flows_for_longer_than_the_configured_timeout)
+{
+    agent_fixture fixture;
+    fixture.idle_timeout_ms = 40000;
+    fixture.start();
+    fixture.core->note_first_incarnation();
+    fixture.open(2000);
+    fixture.answer(2000);
+    fixture.now += std::chrono::milliseconds(fixture.idle_timeout_ms);
+    fixture.core->tick(fixture.now);
+    fixture.send(fixture.packet_of(2000, false), {own_data});
+    BOOST_TEST(fixture.to_server.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_flow_is_not_reset_before_all_of_many_members_have_returned_it)
 {
     agent_fixture fixture;
--- a/tests/unit/packet_history_test.cpp
+++ b/tests/unit/packet_history_test.cpp
@@ -137,7 +137,7 @@
         const char* name;
         injected_packet_faults faults;
     };
-    std::vector<fault_case> cases(7);
+    std::vector<fault_case> cases(8);
     cases[0].name = "other members hidden from agents";
     cases[0].faults.hide_other_members = true;
     cases[1].name = "departures hidden from balancers";
@@ -152,6 +152,8 @@
     cases[5].faults.acknowledge_drain_unrecorded = true;
     cases[6].name = "each table makes a balancer probe all agents";
     cases[6].faults.probe_all_on_each_table = true;
+    cases[7].name = "a restarted agent believes that it knows all flows";
+    cases[7].faults.forget_earlier_flows = true;
     for (const fault_case& item : cases)
     {
         std::string violation;
--- a/tests/unit/server_membership_test.cpp
+++ b/tests/unit/server_membership_test.cpp
@@ -38,17 +38,24 @@
         return ++epochs;
     }
 
+    void note_first_incarnation() override
+    {
+        is_first_incarnation = true;
+    }
+
     void log_change(const std::string& /*what*/) override
     {
     }
 
     /** Answers the oldest proposal. */
-    void answer(error_kind error = error_kind::none, member_id member = 0)
+    void answer(error_kind error = error_kind::none, member_id member = 0,
+                bool is_first_at_address = false)
     {
         auto [edit, done] = std::move(proposed.front());
         proposed.pop_front();
         change_result result;
         result.member = member;
+        result.is_first_at_address = is_first_at_address;
         done(error, result);
     }
 
@@ -64,6 +71,7 @@
     std::uint64_t epochs = 0;
     int reports = 0;
     int scheduled_retries = 0;
+    bool is_first_incarnation = false;
 };
 
 struct membership_fixture
@@ -109,6 +117,23 @@
     BOOST_TEST(fixture.port.proposed.empty());
 }
 
+/** A later join tells nothing about flows that an earlier incarnation of the agent admitted. */
+BOOST_AUTO_TEST_CASE(only_the_first_join_shows_a_first_incarnation)
+{
+    membership_fixture restarted;
+    restarted.announce("server");
+    restarted.port.answer(error_kind::none, 7, false);
+    BOOST_TEST(!restarted.port.is_first_incarnation);
+    restarted.announce("server", false, "catalogue"); // Leaves and joins again.
+    restarted.port.answer();
+    restarted.port.answer(error_kind::none, 8, true);
+    BOOST_TEST(!restarted.port.is_first_incarnation);
+    membership_fixture first;
+    first.announce("server");
+    first.port.answer(error_kind::none, 7, true);
+    BOOST_TEST(first.port.is_first_incarnation);
+}
+
 BOOST_AUTO_TEST_CASE(draining_is_acknowledged_once_control_has_recorded_it)
 {
     membership_fixture fixture;
