Ask a backend server only once about a flow that it doesn't hold

Cause: a restarted agent passes packets of unknown flows to its server, and did so for each retransmission.

--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -301,6 +301,7 @@
 void packet_agent::admit_flow(time_point now, const packet_envelope& envelope,
                               const client_packet& packet)
 {
+    returned_flows_.remove(packet.flow());
     flow& placed = flows_[packet.flow()];
     placed.state = flow_state::opening;
     placed.is_admitted = true;
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -13,6 +13,7 @@
 #include "carawayshelf_packets/packet_observer.hpp"
 #include "carawayshelf_packets/packet_port.hpp"
 #include "carawayshelf_packets/packet_table.hpp"
+#include "carawayshelf_packets/returned_flows.hpp"
 #include "carawayshelf_packets/server_announcement.hpp"
 #include "carawayshelf_packets/service_time_meter.hpp"
 
@@ -255,6 +256,7 @@
 
     early_packets early_packets_;
     flow_map flows_;
+    returned_flows returned_flows_;
     envelope_ring delivered_envelopes_;
     flow_inquiries inquiries_;
     cold_rate_limiter cold_limiter_;
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -93,7 +93,7 @@
             forward(now, envelope, route, packet, forward_reason::wrong_service);
             return;
         }
-        if (knows_all_flows(now))
+        if (knows_all_flows(now) || returned_flows_.contains(now, packet.flow()))
         {
             forward(now, envelope, route, packet, forward_reason::not_here);
             return;
@@ -174,6 +174,10 @@
     {
         erase_flow(now, known);
     }
+    if (!packet.header.is_opening)
+    {
+        returned_flows_.add(now, packet.flow());
+    }
     const packet_route* route = table_->find_route(packet.header.destination);
     if (envelope == nullptr || route == nullptr)
     {
--- a/modules/carawayshelf_packets/packet_counters.hpp
+++ b/modules/carawayshelf_packets/packet_counters.hpp
@@ -51,7 +51,7 @@
     full,        ///< Its backend server has no free slot.
     max_flows,   ///< Its backend server holds the maximum number of flows.
     failing,     ///< Its backend server seems to fail its requests.
-    not_here     ///< The backend server returned the packet, or the agent knows all its flows.
+    not_here     ///< The backend server doesn't hold the flow.
 };
 
 inline constexpr name_table<forward_reason, 11> forward_reason_names{
