Reset flows of unknown routes only while no other copy can exist

A process whose table lacks a new route, and that wrongly takes its table for confirmed (it was frozen, and the confirmation waited in its socket), could reset a flow by a late opening packet although another copy had opened it by a newer table. Found by reading; not met with real processes.

Change: balancers and agents use one rule for opening packets: a reset only for the first copy, within 100 ms.

Tests: an_opening_packet_without_a_route_is_reset_only_before_a_retransmission fails before; an_unknown_route_resets_only_opening_packets_if_the_table_is_fresh also checks a retransmission.

--- a/modules/carawayshelf_packets/opening_timing.hpp
+++ b/modules/carawayshelf_packets/opening_timing.hpp
@@ -18,11 +18,20 @@
 inline constexpr duration second_retransmission_after = std::chrono::milliseconds(600);
 inline constexpr duration attempt_timeout = std::chrono::milliseconds(1400);
 
-/** An opening packet is refused by a reset only if it has waited for less than this: the reset must
-    arrive before the client retransmits, since a retransmission may open the flow elsewhere. The
+/** A flow is reset because of its opening packet only if that has waited for less than this: the
+    reset must arrive before the client retransmits, since a retransmission may open the flow. The
     rest of first_retransmission_after is left to the network. */
 inline constexpr duration max_wait_before_refusal = std::chrono::milliseconds(100);
 
+/** Whether another copy of an opening packet may have opened its flow. That copy and its answer may
+    still be on their way, so no process can rule this out later.
+    @param retransmission  0 for the first opening packet
+    @param waited          in the processes that handled the packet */
+inline bool may_have_other_copies(std::uint32_t retransmission, duration waited)
+{
+    return retransmission != 0 || waited >= max_wait_before_refusal;
+}
+
 /** Allowance for network delays. */
 inline constexpr duration delay_allowance = std::chrono::milliseconds(50);
 
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -427,17 +427,14 @@
     }
 }
 
-/** Resets the flow, unless another copy of its opening packet may have opened it at another member:
-    that copy and its answer may still be on their way, so no agent can rule this out. In that case
-    the packet is only dropped, and the client gives up by itself. */
+/** Resets the flow, unless another copy of its opening packet may have opened it at another member.
+    In that case the packet is only dropped, and the client gives up by itself. */
 void packet_agent::refuse(time_point now, const packet_envelope& envelope,
                           const packet_header& header)
 {
     notify_balancer(now, packet_envelope_kind::load, {}, envelope.balancer);
-    const bool is_only_copy = header.acknowledged == 0 &&
-                              envelope.waited < opening_timing::max_wait_before_refusal &&
-                              (envelope.flags & opening_flag_waited_for_table) == 0;
-    if (!is_only_copy)
+    if (opening_timing::may_have_other_copies(header.acknowledged, envelope.waited) ||
+        (envelope.flags & opening_flag_waited_for_table) != 0)
     {
         drop_packet(packet_drop::too_late, envelope, header);
         return;
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -72,7 +72,10 @@
         return;
     }
     // The route may be newer than this table, and the flow opened on it already.
-    const bool is_known = packet.header.is_opening || table_->had_route(packet.header.destination);
+    const bool is_known =
+        packet.header.is_opening
+            ? !opening_timing::may_have_other_copies(packet.header.acknowledged, envelope.waited)
+            : table_->had_route(packet.header.destination);
     if (!is_known || packet.header.is_reset || !is_table_fresh(now) ||
         envelope.table_generation > table_->held())
     {
--- a/modules/carawayshelf_packets/packet_balancer.cpp
+++ b/modules/carawayshelf_packets/packet_balancer.cpp
@@ -1,5 +1,7 @@
 #include "carawayshelf_packets/packet_balancer.hpp"
 
+#include "carawayshelf_packets/opening_timing.hpp"
+
 #include <algorithm>
 
 namespace carawayshelf
@@ -93,7 +95,10 @@
                                            const packet_header& header)
 {
     // The route may be newer than this table, and another balancer may have placed the flow.
-    const bool may_be_new = !header.is_opening && !table.had_route(header.destination);
+    const bool may_be_new =
+        header.is_opening
+            ? opening_timing::may_have_other_copies(header.acknowledged, envelope.waited)
+            : !table.had_route(header.destination);
     if (!is_fresh || may_be_new || header.is_reset)
     {
         counters_.drops.add(packet_drop::no_route);
--- a/modules/carawayshelf_packets/returned_flows.hpp
+++ b/modules/carawayshelf_packets/returned_flows.hpp
@@ -11,8 +11,8 @@
 namespace carawayshelf
 {
 
-/** Flows of which the backend server has returned a packet, so that it doesn't hold them. Such a flow
-    can't come to the server later, except by an opening packet. Not thread-safe. */
+/** Flows of which the backend server has returned a packet, so that it doesn't hold them. Such a
+   flow can't come to the server later, except by an opening packet. Not thread-safe. */
 class returned_flows
 {
 public:
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -736,7 +736,12 @@
     unrouted.header.is_opening = false;
     fixture.send(unrouted, {own_data});
     BOOST_TEST(!fixture.was_reset());
+    // Another copy of the opening packet may have opened the flow by a newer table.
     unrouted.header.is_opening = true;
+    unrouted.header.acknowledged = 1;
+    fixture.send(unrouted, {own_data});
+    BOOST_TEST(!fixture.was_reset());
+    unrouted.header.acknowledged = 0;
     fixture.send(unrouted, {own_data});
     BOOST_TEST(fixture.was_reset());
     BOOST_TEST(fixture.to_server.empty());
--- a/tests/unit/packet_balancer_test.cpp
+++ b/tests/unit/packet_balancer_test.cpp
@@ -432,6 +432,26 @@
     BOOST_TEST((fixture.last_envelope.candidates[0] == agent_at(33)));
 }
 
+/** A balancer that had been frozen reset a flow by an opening packet from before, although another
+    copy had been placed by a newer table. */
+BOOST_AUTO_TEST_CASE(an_opening_packet_without_a_route_is_reset_only_before_a_retransmission)
+{
+    balancer_fixture fixture;
+    fixture.put_table(2);
+    test_packets::layout packet;
+    packet.header.source = {0x64400001, 2000};
+    packet.header.destination = {address.address, 80};
+    packet.header.is_opening = true;
+    const std::string first = test_packets::encode(packet);
+    fixture.core->handle_packet(fixture.now, fixture.table, true, first,
+                                opening_timing::max_wait_before_refusal);
+    packet.header.acknowledged = 1;
+    fixture.core->handle_packet(fixture.now, fixture.table, true, test_packets::encode(packet));
+    BOOST_TEST(fixture.resets == 0U);
+    fixture.core->handle_packet(fixture.now, fixture.table, true, first);
+    BOOST_TEST(fixture.resets == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(the_time_in_the_socket_is_sent_with_an_opening_packet)
 {
     balancer_fixture fixture;
