--- /dev/null
+++ b/tests/process/deployment.cpp
@@ -0,0 +1,451 @@
+#include "deployment.hpp"
+
+#include "platform_http.hpp"
+#include "standin_socket.hpp"
+
+#include <csignal>
+#include <iostream>
+#include <utility>
+
+namespace carawayshelf::process_tests
+{
+
+namespace
+{
+
+constexpr std::uint32_t control_instances = 3;
+constexpr std::uint32_t spare_machines = 2;
+constexpr duration start_timeout = std::chrono::seconds(15);
+constexpr duration poll_interval = std::chrono::milliseconds(5);
+constexpr duration call_timeout = std::chrono::milliseconds(500);
+
+/** A new member admits flows after its settle time. */
+constexpr duration settle_time = std::chrono::seconds(2);
+
+/** Time between the start of a new backend server and the draining of the old one, and between the
+    acknowledged draining and the end. */
+constexpr duration drain_after = std::chrono::seconds(1);
+constexpr duration drain_time = std::chrono::milliseconds(3500);
+
+constexpr std::size_t max_printed_faults = 20;
+const std::string service_name = "despacho";
+
+std::uint32_t loopback_address(std::uint32_t network, std::uint32_t group, std::uint32_t number)
+{
+    return (127U << 24U) | (network << 16U) | (group << 8U) | number;
+}
+
+std::vector<machine> make_machines(const std::string& prefix, std::uint32_t network,
+                                   std::uint32_t group, std::uint32_t count)
+{
+    std::vector<machine> machines;
+    for (std::uint32_t i = 1; i <= count; ++i)
+    {
+        const std::string domain = std::string("cuyo-") + static_cast<char>('a' + (i - 1) % 3);
+        machines.push_back(
+            {prefix + std::to_string(i), domain, loopback_address(network, group, i)});
+    }
+    return machines;
+}
+
+/** Removes the machines from an index on, and returns them. */
+std::vector<machine> split_off(std::vector<machine>& machines, std::size_t index)
+{
+    const auto first = machines.begin() + static_cast<std::ptrdiff_t>(index);
+    std::vector<machine> rest(first, machines.end());
+    machines.erase(first, machines.end());
+    return rest;
+}
+
+} // namespace
+
+deployment::deployment(const options& deployment_options)
+    : options_(deployment_options),
+      controls_(make_machines("control-", options_.network, 1, control_instances)),
+      balancers_(
+          make_machines("balancer-", options_.network, 2, options_.balancers + spare_machines)),
+      agents_(make_machines("agent-", options_.network, 4, options_.servers + spare_machines)),
+      spare_balancers_(split_off(balancers_, options_.balancers)),
+      spare_agents_(split_off(agents_, options_.servers)),
+      daemons_(options_.program, options_.folder, controls_), random_(options_.seed)
+{
+}
+
+deployment::~deployment()
+{
+    is_stopping_ = true;
+    if (traffic_.joinable())
+    {
+        traffic_.join();
+    }
+}
+
+bool deployment::wait_until(time_point deadline, const std::function<bool()>& condition)
+{
+    while (!condition())
+    {
+        if (standins::clock_now() > deadline)
+        {
+            return false;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return true;
+}
+
+bool deployment::start()
+{
+    for (const machine& control : controls_)
+    {
+        daemons_.start_control(control, true);
+    }
+    for (const machine& balancer : balancers_)
+    {
+        daemons_.start_balancer(balancer);
+    }
+    for (const machine& agent : agents_)
+    {
+        add_server(agent);
+    }
+    const time_point deadline = standins::clock_now() + start_timeout;
+    if (!wait_until(deadline, [this] { return replace_configuration(); }))
+    {
+        return false;
+    }
+    routers_ = std::make_unique<packet_routers>(balancers_);
+    if (!wait_until(deadline, [this] { return routers_->in_rotation() == balancers_.size(); }))
+    {
+        return false;
+    }
+    std::this_thread::sleep_for(settle_time);
+    flow_clients::options client_options = options_.clients;
+    client_options.from = {loopback_address(options_.network, 7, 1), ports::datagrams};
+    client_options.services = {service_address()};
+    client_options.seed = random_();
+    clients_ = std::make_unique<flow_clients>(client_options, *routers_, judge_);
+    started_at_ = standins::clock_now();
+    traffic_ = std::thread([this] { run_traffic(); });
+    return true;
+}
+
+void deployment::run()
+{
+    while (standins::clock_now() - started_at_ < options_.traffic_time)
+    {
+        while (!steps_.empty() && steps_.begin()->first <= standins::clock_now())
+        {
+            const std::function<void()> step = std::move(steps_.begin()->second);
+            steps_.erase(steps_.begin());
+            step();
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+}
+
+void deployment::run_traffic()
+{
+    while (!is_stopping_)
+    {
+        std::vector<int> fds = {clients_->fd()};
+        {
+            const std::lock_guard<std::mutex> guard(traffic_lock_);
+            for (const std::unique_ptr<backend_server>& server : servers_)
+            {
+                fds.push_back(server->fd());
+            }
+        }
+        standins::wait_readable(fds, std::chrono::milliseconds(2));
+        const std::lock_guard<std::mutex> guard(traffic_lock_);
+        for (const std::unique_ptr<backend_server>& server : servers_)
+        {
+            server->run(standins::clock_now());
+        }
+        clients_->run(standins::clock_now());
+    }
+}
+
+bool deployment::report()
+{
+    const std::lock_guard<std::mutex> guard(traffic_lock_);
+    const flow_clients::counters& totals = clients_->totals();
+    std::cout << "opened " << totals.opened << ", not opened " << totals.not_opened << ", answers "
+              << totals.answers << ", unanswered " << totals.unanswered << ", faults "
+              << judge_.faults().size() << "\n";
+    std::vector<machine> deciding = balancers_;
+    deciding.insert(deciding.end(), agents_.begin(), agents_.end());
+    std::size_t printed = 0;
+    for (const flow_judge::fault& fault : judge_.faults())
+    {
+        if (++printed > max_printed_faults)
+        {
+            break;
+        }
+        const std::string client = to_string(fault.flow.client);
+        std::cout << "fault at " << (fault.at - started_at_).count() / 1000 << " ms: flow "
+                  << client << ", open at " << fault.server << ": " << fault.what << "\n";
+        for (const machine& at : deciding)
+        {
+            for (const std::string& line : daemons_.find_in_log(at.name, "flow " + client + " "))
+            {
+                std::cout << "    " << at.name << " " << line << "\n";
+            }
+        }
+    }
+    const std::vector<std::string> ended = daemons_.ended_unexpectedly();
+    for (const std::string& name : ended)
+    {
+        std::cout << name << " has ended by itself\n";
+    }
+    return judge_.faults().empty() && ended.empty() && totals.answers != 0;
+}
+
+void deployment::log_event(const std::string& what) const
+{
+    std::cout << "  " << (standins::clock_now() - started_at_).count() / 1000 << " ms: " << what
+              << "\n";
+}
+
+endpoint deployment::service_address() const
+{
+    return {loopback_address(options_.network, 9, 1), 443};
+}
+
+const machine& deployment::any_of(const std::vector<machine>& machines)
+{
+    return machines[random_() % machines.size()];
+}
+
+const machine& deployment::leader() const
+{
+    std::string newest;
+    const machine* found = &controls_.front();
+    for (const machine& control : controls_)
+    {
+        const std::vector<std::string> lines =
+            daemons_.find_in_log(control.name, "became the leader");
+        if (!lines.empty() && lines.back() > newest)
+        {
+            newest = lines.back(); // Lines begin with their time.
+            found = &control;
+        }
+    }
+    return *found;
+}
+
+void deployment::schedule(time_point at, std::function<void()> step)
+{
+    steps_.emplace(at, std::move(step));
+}
+
+void deployment::signal(const std::string& name, int signal_number, const std::string& what)
+{
+    log_event(what + " " + name);
+    daemons_.signal(name, signal_number);
+}
+
+/** Calls a function once the daemon has ended, and a further delay has passed. */
+void deployment::when_ended(const std::string& name, duration delay,
+                            const std::function<void()>& next)
+{
+    if (!daemons_.has_ended(name))
+    {
+        schedule(standins::clock_now() + poll_interval,
+                 [this, name, delay, next] { when_ended(name, delay, next); });
+        return;
+    }
+    schedule(standins::clock_now() + delay, next);
+}
+
+void deployment::start_again(const machine& at)
+{
+    if (!daemons_.has_ended(at.name))
+    {
+        return; // Another scenario has started it.
+    }
+    log_event("start " + at.name);
+    switch (at.name[0])
+    {
+    case 'c':
+        daemons_.start_control(at, false);
+        break;
+    case 'b':
+        daemons_.start_balancer(at);
+        break;
+    default:
+        daemons_.start_agent(at, service_name);
+        break;
+    }
+}
+
+void deployment::restart(time_point at, const machine& which, int signal_number, duration delay)
+{
+    schedule(at,
+             [this, which, signal_number, delay]
+             {
+                 signal(which.name, signal_number, signal_number == SIGTERM ? "stop" : "kill");
+                 when_ended(which.name, delay, [this, which] { start_again(which); });
+             });
+}
+
+void deployment::restart_in_turn(time_point at, const std::vector<machine>& which, duration gap)
+{
+    if (which.empty())
+    {
+        return;
+    }
+    schedule(at,
+             [this, which, gap]
+             {
+                 const machine& first = which.front();
+                 signal(first.name, SIGTERM, "stop");
+                 when_ended(first.name, duration(0),
+                            [this, which, gap]
+                            {
+                                start_again(which.front());
+                                restart_in_turn(standins::clock_now() + gap,
+                                                {which.begin() + 1, which.end()}, gap);
+                            });
+             });
+}
+
+void deployment::freeze(time_point at, const std::string& name, duration frozen_for)
+{
+    schedule(at, [this, name] { signal(name, SIGSTOP, "freeze"); });
+    schedule(at + frozen_for, [this, name] { signal(name, SIGCONT, "thaw"); });
+}
+
+void deployment::slow_down(time_point at, const std::string& name, duration slow_for)
+{
+    constexpr duration period = std::chrono::milliseconds(400);
+    schedule(at, [this, name] { log_event("slow down " + name); });
+    for (duration passed{0}; passed < slow_for; passed += period)
+    {
+        schedule(at + passed, [this, name] { daemons_.signal(name, SIGSTOP); });
+        schedule(at + passed + period * 3 / 4, [this, name] { daemons_.signal(name, SIGCONT); });
+    }
+}
+
+void deployment::hang_up(const std::string& name)
+{
+    signal(name, SIGHUP, "hang up");
+}
+
+void deployment::add_spare_balancers()
+{
+    for (const machine& added : std::exchange(spare_balancers_, {}))
+    {
+        start_again(added);
+        routers_->add(added);
+    }
+}
+
+void deployment::add_server(const machine& at)
+{
+    daemons_.start_agent(at, service_name);
+    const std::lock_guard<std::mutex> guard(traffic_lock_);
+    servers_.push_back(std::make_unique<backend_server>(
+        at, service_name, "i-" + std::to_string(++last_server_), judge_));
+}
+
+backend_server* deployment::find_server(const std::string& name)
+{
+    for (const std::unique_ptr<backend_server>& server : servers_)
+    {
+        if (server->at().name == name && !server->has_ended())
+        {
+            return server.get();
+        }
+    }
+    return nullptr;
+}
+
+void deployment::replace_server()
+{
+    if (spare_agents_.empty())
+    {
+        return;
+    }
+    const machine added = spare_agents_.back();
+    const machine removed = agents_.back();
+    spare_agents_.pop_back();
+    agents_.pop_back();
+    log_event("replace the server at " + removed.name + " by one at " + added.name);
+    add_server(added);
+    schedule(standins::clock_now() + drain_after,
+             [this, removed]
+             {
+                 find_server(removed.name)->drain();
+                 leave_when_drained(removed);
+             });
+}
+
+void deployment::leave_when_drained(const machine& removed)
+{
+    backend_server* server = find_server(removed.name);
+    if (!server->is_draining_acknowledged())
+    {
+        schedule(standins::clock_now() + poll_interval,
+                 [this, removed] { leave_when_drained(removed); });
+        return;
+    }
+    schedule(standins::clock_now() + drain_time,
+             [this, removed, server]
+             {
+                 log_event("the server at " + removed.name + " leaves");
+                 {
+                     const std::lock_guard<std::mutex> guard(traffic_lock_);
+                     server->end();
+                 }
+                 server->deregister();
+                 signal(removed.name, SIGTERM, "stop");
+                 when_ended(removed.name, duration(0), [] {});
+             });
+}
+
+void deployment::end_server()
+{
+    const machine lost = agents_.front();
+    log_event("the server at " + lost.name + " ends");
+    agents_.erase(agents_.begin());
+    const std::lock_guard<std::mutex> guard(traffic_lock_);
+    find_server(lost.name)->end();
+}
+
+bool deployment::call_control(const std::string& path, const std::string& body)
+{
+    const machine& control = any_of(controls_);
+    return call_http({control.address, ports::control_plane}, "POST", path, body, call_timeout) ==
+           200;
+}
+
+bool deployment::replace_configuration()
+{
+    const std::string address = format_address(service_address().address);
+    const std::string port = std::to_string(service_address().port);
+    const std::string version = std::to_string(++configuration_version_);
+    return call_control(
+        "/carawayshelf/Config.Replace",
+        "{\"version\":" + version + ",\"routes\":[{\"name\":\"feed\",\"hostname\":\"" + address +
+            "\",\"path_prefix\":\"/" + port + "/\",\"route_type\":\"idempotent\",\"timeout_ms\":" +
+            std::to_string(500 + configuration_version_) +
+            ",\"target_latency_ms\":100,\"priority\":1,\"backend\":\"" + service_name +
+            "\",\"max_attempts\":2}],\"services\":[{\"name\":\"" + service_name +
+            "\",\"health_path\":\"/health\",\"max_connections\":2000,\"protocol\":\"h1\","
+            "\"tls\":false,\"warmup_s\":0.0,\"warmup_per_s\":0.0}],\"limits\":{"
+            "\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,"
+            "\"idle_timeout_ms\":15000}}");
+}
+
+void deployment::evacuate(const std::string& domain)
+{
+    log_event("evacuate " + domain);
+    call_control("/carawayshelf/Evacuate.Start/" + domain, "");
+}
+
+void deployment::take_back(const std::string& domain)
+{
+    log_event("take back " + domain);
+    call_control("/carawayshelf/Evacuate.Finish/" + domain, "");
+}
+
+} // namespace carawayshelf::process_tests
