--- a/tests/unit/flow_inquiries_test.cpp
+++ b/tests/unit/flow_inquiries_test.cpp
@@ -202,6 +202,25 @@
     BOOST_TEST(fixture.inquiries.take_concluded().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_silent_member_without_an_answer_lets_an_inquiry_expire)
+{
+    inquiry_fixture fixture(30);
+    fixture.set_state(4, member_state::silent);
+    const packet_table known_table = fixture.table();
+    std::vector<endpoint> inquired_members = fixture.begin(known_table);
+    inquired_members.erase(
+        std::find(inquired_members.begin(), inquired_members.end(), agent_at(4)));
+    const endpoint other = inquired_members.back();
+    inquired_members.pop_back();
+    fixture.answer(inquired_members, known_table.held());
+    BOOST_TEST(fixture.inquiries.take_concluded().empty());
+    fixture.answer({other}, known_table.held());
+    BOOST_TEST(fixture.inquiries.take_concluded().empty());
+    const time_point end = start + flow_inquiries::timeout;
+    BOOST_TEST(fixture.inquiries.take_expired(end - duration(1)).empty());
+    BOOST_TEST(fixture.inquiries.take_expired(end).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_member_unknown_at_the_start_is_asked_before_an_outcome)
 {
     inquiry_fixture fixture(30);
