Test of open flows: the deployments' shape as processes

flow_continuity can run several services, routers for each failure domain that hash the whole flow, short flows, servers that return openings beyond a number of flows, close idle flows, answer for ended ones and serve TCP at their address, clients with few ports, and late packets of all kinds.

--- a/tests/process/backend_servers.cpp
+++ b/tests/process/backend_servers.cpp
@@ -4,6 +4,9 @@
 #include "platform_http.hpp"
 #include "standin_socket.hpp"
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <cstdlib>
 #include <optional>
 #include <system_error>
@@ -19,6 +22,9 @@
 constexpr duration announce_interval = std::chrono::milliseconds(770);
 constexpr duration call_timeout = std::chrono::seconds(1);
 
+/** A flow without packets for this long is closed. */
+constexpr duration idle_timeout = std::chrono::seconds(12);
+
 std::int64_t unix_ms()
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -28,18 +34,33 @@
 
 } // namespace
 
-backend_server::backend_server(const machine& at, std::string service, std::string id,
+backend_server::backend_server(const machine& at, std::string id, std::size_t max_flows,
                                flow_judge& judge)
-    : at_(at), service_(std::move(service)), id_(std::move(id)), started_at_ms_(unix_ms()),
-      judge_(judge), last_sequence_(at.address & 0xFFFFU)
+    : at_(at), id_(std::move(id)), max_flows_(max_flows), started_at_ms_(unix_ms()), judge_(judge),
+      last_sequence_(at.address & 0xFFFFU)
 {
     if (const failure failed = open_udp_socket({at.address, ports::server}, socket_))
     {
         throw std::system_error(failed.code, failed.message());
     }
+    listen();
     announcer_ = std::thread([this] { announce(); });
 }
 
+void backend_server::listen()
+{
+    listener_ = unique_fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    const int on = 1;
+    ::setsockopt(listener_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const sockaddr_in address = to_socket_address({at_.address, ports::server});
+    if (::bind(listener_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) !=
+            0 ||
+        ::listen(listener_.get(), SOMAXCONN) != 0)
+    {
+        throw std::system_error(errno, std::generic_category(), "health checks can't be served");
+    }
+}
+
 backend_server::~backend_server()
 {
     is_stopping_ = true;
@@ -72,6 +93,24 @@
         }
     }
     start_jobs(now);
+    close_idle_flows(now);
+}
+
+void backend_server::close_idle_flows(time_point now)
+{
+    for (auto item = flows_.begin(); item != flows_.end();)
+    {
+        const auto current = item++;
+        flow& known = current->second;
+        if (now - known.last_used < idle_timeout)
+        {
+            continue;
+        }
+        reply(current->first, flag_acknowledge | flag_finish, known.first_sequence + 1, "");
+        judge_.note_ended(current->first);
+        ended_flows_.insert(current->first);
+        flows_.erase(current);
+    }
 }
 
 void backend_server::start_jobs(time_point now)
@@ -85,34 +124,27 @@
 
 void backend_server::handle(time_point now, const platform_packet& packet)
 {
-    const packet_flow key{packet.source, packet.destination};
-    const auto found = flows_.find(key);
     if (packet.has(flag_open))
     {
-        flow& added = found == flows_.end() ? flows_[key] : found->second;
-        if (found == flows_.end())
-        {
-            last_sequence_ += 100000;
-            added.first_sequence = last_sequence_;
-        }
-        if (!added.is_open)
-        {
-            reply(key, flag_open | flag_acknowledge, added.first_sequence, "");
-        }
+        handle_opening(now, packet);
         return;
     }
+    const packet_flow key{packet.source, packet.destination};
+    const auto found = flows_.find(key);
     const bool is_held =
         found != flows_.end() &&
         (found->second.is_open || packet.acknowledged == found->second.first_sequence + 1);
     judge_.note_arrival(now, key, at_.name, packet.sequence);
     if (!is_held)
     {
-        platform_packet returned = packet;
-        returned.flags |= flag_returned;
-        send_to_agent(encode_platform_packet(returned));
+        if (!answer_for_ended_flow(packet))
+        {
+            return_packet(packet);
+        }
         return;
     }
     flow& known = found->second;
+    known.last_used = now;
     if (!known.is_open)
     {
         known.is_open = true;
@@ -122,6 +154,7 @@
     {
         reply(key, flag_acknowledge | flag_finish, known.first_sequence + 1, "");
         judge_.note_ended(key);
+        ended_flows_.insert(key);
         flows_.erase(found);
         return;
     }
@@ -131,6 +164,55 @@
     }
 }
 
+void backend_server::handle_opening(time_point now, const platform_packet& packet)
+{
+    const packet_flow key{packet.source, packet.destination};
+    const auto found = flows_.find(key);
+    if (found == flows_.end() && flows_.size() >= max_flows_)
+    {
+        return_packet(packet);
+        return;
+    }
+    flow& added = found == flows_.end() ? flows_[key] : found->second;
+    if (found == flows_.end())
+    {
+        last_sequence_ += 100000;
+        added.first_sequence = last_sequence_;
+        ended_flows_.erase(key);
+    }
+    if (!added.is_open)
+    {
+        added.last_used = now;
+        reply(key, flag_open | flag_acknowledge, added.first_sequence, "");
+    }
+}
+
+/** Acknowledges a FIN of a flow that has ended here, and resets its data. Returns false if no such
+    flow has ended here. */
+bool backend_server::answer_for_ended_flow(const platform_packet& packet)
+{
+    const packet_flow key{packet.source, packet.destination};
+    if (ended_flows_.count(key) == 0)
+    {
+        return false;
+    }
+    if (packet.has(flag_finish))
+    {
+        reply(key, flag_acknowledge, packet.acknowledged, "");
+    }
+    else if (!packet.data.empty())
+    {
+        reply(key, flag_reset, packet.acknowledged, "");
+    }
+    return true;
+}
+
+void backend_server::return_packet(platform_packet packet)
+{
+    packet.flags |= flag_returned;
+    send_to_agent(encode_platform_packet(packet));
+}
+
 /** Runs a request unless it is a retransmission; of an answered one, the answer is sent again. */
 void backend_server::handle_request(time_point now, const packet_flow& key, flow& known,
                                     const platform_packet& packet)
@@ -183,6 +265,7 @@
 {
     has_ended_ = true;
     is_stopping_ = true;
+    listener_.reset();
     flows_.clear();
     running_.clear();
     waiting_.clear();
@@ -209,7 +292,7 @@
         due = standins::clock_now() + announce_interval;
         const bool is_draining = is_draining_;
         const std::string body =
-            "{\"backend\":\"" + service_ + "\",\"address\":\"" +
+            "{\"backend\":\"" + at_.service + "\",\"address\":\"" +
             to_string(endpoint{at_.address, ports::server}) + "\",\"zone\":\"" + at_.domain +
             "\",\"version\":\"v1\",\"capacity_slots\":" + std::to_string(slots) + ",\"state\":\"" +
             (is_draining ? "draining" : "ready") +
--- a/tests/process/backend_servers.hpp
+++ b/tests/process/backend_servers.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <thread>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace carawayshelf::process_tests
@@ -22,8 +23,9 @@
 {
 public:
     /** Starts the server.
-        Precondition: its address is free. */
-    backend_server(const machine& at, std::string service, std::string id, flow_judge& judge);
+        Precondition: its address is free.
+        @param max_flows  opening packets beyond this number of flows are returned */
+    backend_server(const machine& at, std::string id, std::size_t max_flows, flow_judge& judge);
     ~backend_server();
 
     backend_server(const backend_server&) = delete;
@@ -77,6 +79,7 @@
         bool is_open = false;
         std::uint64_t last_request = 0;    ///< Number of the last request that was answered.
         std::uint64_t running_request = 0; ///< Number of the last request that was begun.
+        time_point last_used;
     };
 
     struct job
@@ -86,6 +89,10 @@
     };
 
     void handle(time_point now, const platform_packet& packet);
+    void handle_opening(time_point now, const platform_packet& packet);
+    bool answer_for_ended_flow(const platform_packet& packet);
+    void return_packet(platform_packet packet);
+    void close_idle_flows(time_point now);
     void handle_request(time_point now, const packet_flow& key, flow& known,
                         const platform_packet& packet);
     void start_jobs(time_point now);
@@ -94,15 +101,18 @@
                const std::string& data);
     void send_to_agent(const std::string& bytes);
     void announce();
+    void listen();
     endpoint announcements_to() const;
 
     machine at_;
-    std::string service_;
     std::string id_;
+    std::size_t max_flows_;
     std::int64_t started_at_ms_;
     flow_judge& judge_;
     unique_fd socket_;
+    unique_fd listener_; ///< For health checks; connections are never accepted.
     std::unordered_map<packet_flow, flow, packet_flow_hasher> flows_;
+    std::unordered_set<packet_flow, packet_flow_hasher> ended_flows_;
     std::deque<job> waiting_;
     std::vector<job> running_;
     std::uint32_t last_sequence_; ///< Differs between servers, as if it were random.
--- a/tests/process/daemon_processes.cpp
+++ b/tests/process/daemon_processes.cpp
@@ -65,13 +65,13 @@
     start(at, "balancer", settings.str());
 }
 
-void daemon_processes::start_agent(const machine& at, const std::string& service)
+void daemon_processes::start_agent(const machine& at)
 {
     std::ostringstream settings;
     settings << "[agent]\nflows = packets\nname = " << at.name << "\ndomain = " << at.domain
              << "\ndata_address = " << at_port(at, ports::datagrams)
              << "\nannounce_address = " << at_port(at, ports::control_plane)
-             << "\nservice = " << service << "\nserver = " << at_port(at, ports::server)
+             << "\nservice = " << at.service << "\nserver = " << at_port(at, ports::server)
              << "\nserver_side = " << at_port(at, ports::server_side)
              << "\nready_address = " << at_port(at, ports::readiness)
              << "\nannounce_ms = 770\n[control]\nseeds = " << seeds_
--- a/tests/process/daemon_processes.hpp
+++ b/tests/process/daemon_processes.hpp
@@ -14,12 +14,13 @@
 namespace carawayshelf::process_tests
 {
 
-/** A machine of the platform: its name, failure domain and address. */
+/** A machine of the platform. */
 struct machine
 {
     std::string name;
     std::string domain;
     std::uint32_t address = 0;
+    std::string service; ///< Of its backend server; empty without one.
 };
 
 /** Ports, the same on all machines. */
@@ -51,7 +52,7 @@
 
     void start_control(const machine& at, bool is_first_start);
     void start_balancer(const machine& at);
-    void start_agent(const machine& at, const std::string& service);
+    void start_agent(const machine& at);
 
     /** Signals the daemon of a machine. Does nothing if it has none. */
     void signal(const std::string& name, int signal_number);
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -3,8 +3,10 @@
 #include "platform_http.hpp"
 #include "standin_socket.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
+#include <iterator>
 #include <utility>
 
 namespace carawayshelf::process_tests
@@ -27,23 +29,34 @@
 constexpr duration drain_after = std::chrono::seconds(1);
 constexpr duration drain_time = std::chrono::milliseconds(3500);
 
+/** The machine of a backend server is taken away this long after the server has ended. */
+constexpr duration machine_removal_delay = std::chrono::seconds(2);
+
+/** The address of a backend server is used again after this. */
+constexpr duration address_reuse_time = std::chrono::seconds(2);
+
+constexpr std::uint32_t domain_count = 3;
 constexpr std::size_t max_printed_faults = 20;
-const std::string service_name = "despacho";
+constexpr std::uint16_t service_port = 443;
 
 std::uint32_t loopback_address(std::uint32_t network, std::uint32_t group, std::uint32_t number)
 {
     return (127U << 24U) | (network << 16U) | (group << 8U) | number;
 }
 
+std::string domain_name(std::uint32_t number)
+{
+    return std::string("cuyo-") + static_cast<char>('a' + number % domain_count);
+}
+
 std::vector<machine> make_machines(const std::string& prefix, std::uint32_t network,
                                    std::uint32_t group, std::uint32_t count)
 {
     std::vector<machine> machines;
     for (std::uint32_t i = 1; i <= count; ++i)
     {
-        const std::string domain = std::string("cuyo-") + static_cast<char>('a' + (i - 1) % 3);
-        machines.push_back(
-            {prefix + std::to_string(i), domain, loopback_address(network, group, i)});
+        machines.push_back({prefix + std::to_string(i), domain_name(i - 1),
+                            loopback_address(network, group, i), ""});
     }
     return machines;
 }
@@ -64,9 +77,8 @@
       controls_(make_machines("control-", options_.network, 1, control_instances)),
       balancers_(
           make_machines("balancer-", options_.network, 2, options_.balancers + spare_machines)),
-      agents_(make_machines("agent-", options_.network, 4, options_.servers + spare_machines)),
-      spare_balancers_(split_off(balancers_, options_.balancers)),
-      spare_agents_(split_off(agents_, options_.servers)),
+      agents_(make_agents()), spare_balancers_(split_off(balancers_, options_.balancers)),
+      spare_agents_(split_off(agents_, agents_.size() - spare_machines)),
       daemons_(options_.program, options_.folder, controls_), random_(options_.seed)
 {
 }
@@ -80,6 +92,24 @@
     }
 }
 
+/** Machines for the backend servers of all services, followed by the spare ones. */
+std::vector<machine> deployment::make_agents() const
+{
+    std::vector<std::string> services;
+    for (const service_plan& plan : options_.services)
+    {
+        services.insert(services.end(), plan.servers, plan.name);
+    }
+    services.insert(services.end(), spare_machines, options_.services.front().name);
+    std::vector<machine> machines =
+        make_machines("agent-", options_.network, 4, static_cast<std::uint32_t>(services.size()));
+    for (std::size_t i = 0; i < machines.size(); ++i)
+    {
+        machines[i].service = services[i];
+    }
+    return machines;
+}
+
 bool deployment::wait_until(time_point deadline, const std::function<bool()>& condition)
 {
     while (!condition())
@@ -118,16 +148,31 @@
         return false;
     }
     std::this_thread::sleep_for(settle_time);
-    flow_clients::options client_options = options_.clients;
-    client_options.from = {loopback_address(options_.network, 7, 1), ports::datagrams};
-    client_options.services = {service_address()};
-    client_options.seed = random_();
-    clients_ = std::make_unique<flow_clients>(client_options, *routers_, judge_);
+    start_clients();
     started_at_ = standins::clock_now();
     traffic_ = std::thread([this] { run_traffic(); });
     return true;
 }
 
+void deployment::start_clients()
+{
+    const std::uint32_t groups = options_.has_client_domains ? domain_count : 1;
+    const std::uint64_t seed = random_();
+    for (std::uint32_t i = 0; i < groups; ++i)
+    {
+        flow_clients::options client_options = options_.clients;
+        client_options.concurrent_flows /= groups;
+        client_options.from = {loopback_address(options_.network, 7, i + 1), ports::datagrams};
+        client_options.domain = options_.has_client_domains ? domain_name(i) : "";
+        for (std::size_t service = 0; service < options_.services.size(); ++service)
+        {
+            client_options.services.push_back(service_address(service));
+        }
+        client_options.seed = seed + i;
+        clients_.push_back(std::make_unique<flow_clients>(client_options, *routers_, judge_));
+    }
+}
+
 void deployment::run()
 {
     while (standins::clock_now() - started_at_ < options_.traffic_time)
@@ -146,7 +191,11 @@
 {
     while (!is_stopping_)
     {
-        std::vector<int> fds = {clients_->fd()};
+        std::vector<int> fds;
+        for (const std::unique_ptr<flow_clients>& clients : clients_)
+        {
+            fds.push_back(clients->fd());
+        }
         {
             const std::lock_guard<std::mutex> guard(traffic_lock_);
             for (const std::unique_ptr<backend_server>& server : servers_)
@@ -160,16 +209,30 @@
         {
             server->run(standins::clock_now());
         }
-        clients_->run(standins::clock_now());
+        for (const std::unique_ptr<flow_clients>& clients : clients_)
+        {
+            clients->run(standins::clock_now());
+        }
+    }
+}
+
+std::uint64_t deployment::sum_of(std::uint64_t flow_clients::counters::*counter) const
+{
+    std::uint64_t sum = 0;
+    for (const std::unique_ptr<flow_clients>& clients : clients_)
+    {
+        sum += clients->totals().*counter;
     }
+    return sum;
 }
 
 bool deployment::report()
 {
     const std::lock_guard<std::mutex> guard(traffic_lock_);
-    const flow_clients::counters& totals = clients_->totals();
-    std::cout << "opened " << totals.opened << ", not opened " << totals.not_opened << ", answers "
-              << totals.answers << ", unanswered " << totals.unanswered << ", faults "
+    const std::uint64_t answers = sum_of(&flow_clients::counters::answers);
+    std::cout << "opened " << sum_of(&flow_clients::counters::opened) << ", not opened "
+              << sum_of(&flow_clients::counters::not_opened) << ", answers " << answers
+              << ", unanswered " << sum_of(&flow_clients::counters::unanswered) << ", faults "
               << judge_.faults().size() << "\n";
     std::vector<machine> deciding = balancers_;
     deciding.insert(deciding.end(), agents_.begin(), agents_.end());
@@ -196,7 +259,7 @@
     {
         std::cout << name << " has ended by itself\n";
     }
-    return judge_.faults().empty() && ended.empty() && totals.answers != 0;
+    return judge_.faults().empty() && ended.empty() && answers != 0;
 }
 
 void deployment::log_event(const std::string& what) const
@@ -205,9 +268,12 @@
               << "\n";
 }
 
-endpoint deployment::service_address() const
+endpoint deployment::service_address(std::size_t service) const
 {
-    return {loopback_address(options_.network, 9, 1), 443};
+    constexpr std::size_t addresses = 200;
+    return {
+        loopback_address(options_.network, 9, static_cast<std::uint32_t>(service % addresses) + 1),
+        static_cast<std::uint16_t>(service_port + service / addresses)};
 }
 
 const machine& deployment::any_of(const std::vector<machine>& machines)
@@ -215,6 +281,16 @@
     return machines[random_() % machines.size()];
 }
 
+std::vector<machine> deployment::some_machines(double share)
+{
+    std::vector<machine> machines = controls_;
+    machines.insert(machines.end(), balancers_.begin(), balancers_.end());
+    machines.insert(machines.end(), agents_.begin(), agents_.end());
+    std::shuffle(machines.begin(), machines.end(), random_);
+    machines.resize(static_cast<std::size_t>(share * static_cast<double>(machines.size())));
+    return machines;
+}
+
 const machine& deployment::leader() const
 {
     std::string newest;
@@ -272,7 +348,7 @@
         daemons_.start_balancer(at);
         break;
     default:
-        daemons_.start_agent(at, service_name);
+        daemons_.start_agent(at);
         break;
     }
 }
@@ -341,10 +417,10 @@
 
 void deployment::add_server(const machine& at)
 {
-    daemons_.start_agent(at, service_name);
+    daemons_.start_agent(at);
     const std::lock_guard<std::mutex> guard(traffic_lock_);
-    servers_.push_back(std::make_unique<backend_server>(
-        at, service_name, "i-" + std::to_string(++last_server_), judge_));
+    servers_.push_back(std::make_unique<backend_server>(at, "i-" + std::to_string(++last_server_),
+                                                        options_.max_flows_per_server, judge_));
 }
 
 backend_server* deployment::find_server(const std::string& name)
@@ -365,23 +441,42 @@
     {
         return;
     }
-    const machine added = spare_agents_.back();
+    machine added = spare_agents_.back();
     const machine removed = agents_.back();
     spare_agents_.pop_back();
     agents_.pop_back();
     log_event("replace the server at " + removed.name + " by one at " + added.name);
+    added.service = removed.service;
     add_server(added);
-    schedule(standins::clock_now() + drain_after,
-             [this, removed]
-             {
-                 find_server(removed.name)->drain();
-                 leave_when_drained(removed);
-             });
+    agents_.insert(agents_.begin(), added);
+    schedule(standins::clock_now() + drain_after, [this, removed] { drain(removed); });
+}
+
+void deployment::remove_server()
+{
+    const machine removed = agents_.front();
+    agents_.erase(agents_.begin());
+    log_event("remove the server at " + removed.name);
+    drain(removed);
+}
+
+void deployment::drain(const machine& removed)
+{
+    backend_server* server = find_server(removed.name);
+    if (server != nullptr)
+    {
+        server->drain();
+        leave_when_drained(removed);
+    }
 }
 
 void deployment::leave_when_drained(const machine& removed)
 {
     backend_server* server = find_server(removed.name);
+    if (server == nullptr)
+    {
+        return;
+    }
     if (!server->is_draining_acknowledged())
     {
         schedule(standins::clock_now() + poll_interval,
@@ -392,11 +487,21 @@
              [this, removed, server]
              {
                  log_event("the server at " + removed.name + " leaves");
-                 {
-                     const std::lock_guard<std::mutex> guard(traffic_lock_);
-                     server->end();
-                 }
                  server->deregister();
+                 schedule(standins::clock_now() + options_.exit_delay,
+                          [this, removed, server] { end_departed(removed, *server); });
+             });
+}
+
+void deployment::end_departed(const machine& removed, backend_server& server)
+{
+    {
+        const std::lock_guard<std::mutex> guard(traffic_lock_);
+        server.end();
+    }
+    schedule(standins::clock_now() + machine_removal_delay,
+             [this, removed]
+             {
                  signal(removed.name, SIGTERM, "stop");
                  when_ended(removed.name, duration(0), [] {});
              });
@@ -411,6 +516,38 @@
     find_server(lost.name)->end();
 }
 
+void deployment::reuse_address()
+{
+    machine reused = agents_.front();
+    backend_server* lost = find_server(reused.name);
+    if (lost == nullptr)
+    {
+        return;
+    }
+    log_event("the server at " + reused.name + " ends, and its address is used again");
+    agents_.erase(agents_.begin());
+    {
+        const std::lock_guard<std::mutex> guard(traffic_lock_);
+        lost->end();
+    }
+    reused.service = options_.services.back().name;
+    signal(reused.name, SIGTERM, "stop");
+    when_ended(reused.name, address_reuse_time,
+               [this, reused]
+               {
+                   {
+                       const std::lock_guard<std::mutex> guard(traffic_lock_);
+                       for (auto item = servers_.begin(); item != servers_.end();)
+                       {
+                           item = (*item)->at().name == reused.name ? servers_.erase(item)
+                                                                    : std::next(item);
+                       }
+                   }
+                   add_server(reused);
+                   agents_.push_back(reused);
+               });
+}
+
 bool deployment::call_control(const std::string& path, const std::string& body)
 {
     const machine& control = any_of(controls_);
@@ -418,22 +555,50 @@
            200;
 }
 
+std::string deployment::routes_text() const
+{
+    std::string text;
+    for (std::size_t i = 0; i < options_.services.size() + idle_routes_; ++i)
+    {
+        const std::size_t service = i < options_.services.size() ? i : 0;
+        const endpoint address = service_address(i);
+        text += std::string(i == 0 ? "" : ",") + "{\"name\":\"route-" + std::to_string(i) +
+                "\",\"hostname\":\"" + format_address(address.address) + "\",\"path_prefix\":\"/" +
+                std::to_string(address.port) + "/\",\"route_type\":\"idempotent\",\"timeout_ms\":" +
+                std::to_string(500 + configuration_version_) +
+                ",\"target_latency_ms\":100,\"priority\":1,\"backend\":\"" +
+                options_.services[service].name + "\",\"max_attempts\":2}";
+    }
+    return text;
+}
+
+std::string deployment::services_text() const
+{
+    std::string text;
+    for (const service_plan& plan : options_.services)
+    {
+        text += std::string(text.empty() ? "" : ",") + "{\"name\":\"" + plan.name +
+                "\",\"health_path\":\"/health\",\"max_connections\":2000,\"protocol\":\"h1\","
+                "\"tls\":false,\"warmup_s\":0.0,\"warmup_per_s\":0.0}";
+    }
+    return text;
+}
+
 bool deployment::replace_configuration()
 {
-    const std::string address = format_address(service_address().address);
-    const std::string port = std::to_string(service_address().port);
-    const std::string version = std::to_string(++configuration_version_);
-    return call_control(
-        "/carawayshelf/Config.Replace",
-        "{\"version\":" + version + ",\"routes\":[{\"name\":\"feed\",\"hostname\":\"" + address +
-            "\",\"path_prefix\":\"/" + port + "/\",\"route_type\":\"idempotent\",\"timeout_ms\":" +
-            std::to_string(500 + configuration_version_) +
-            ",\"target_latency_ms\":100,\"priority\":1,\"backend\":\"" + service_name +
-            "\",\"max_attempts\":2}],\"services\":[{\"name\":\"" + service_name +
-            "\",\"health_path\":\"/health\",\"max_connections\":2000,\"protocol\":\"h1\","
-            "\"tls\":false,\"warmup_s\":0.0,\"warmup_per_s\":0.0}],\"limits\":{"
-            "\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,"
-            "\"idle_timeout_ms\":15000}}");
+    ++configuration_version_;
+    return call_control("/carawayshelf/Config.Replace",
+                        "{\"version\":" + std::to_string(configuration_version_) + ",\"routes\":[" +
+                            routes_text() + "],\"services\":[" + services_text() +
+                            "],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
+                            "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}");
+}
+
+void deployment::add_routes(std::uint32_t count)
+{
+    log_event("add " + std::to_string(count) + " routes");
+    idle_routes_ += count;
+    replace_configuration();
 }
 
 void deployment::evacuate(const std::string& domain)
--- a/tests/process/deployment.hpp
+++ b/tests/process/deployment.hpp
@@ -24,15 +24,26 @@
 class deployment
 {
 public:
+    struct service_plan
+    {
+        std::string name;
+        std::uint32_t servers = 0;
+    };
+
     struct options
     {
         std::string program;        ///< Path of the carawayshelf program.
         std::string folder;         ///< Existing folder for settings, data and logs.
         std::uint32_t network = 80; ///< Second number of the loopback addresses.
         std::uint32_t balancers = 4;
-        std::uint32_t servers = 9;
+        std::vector<service_plan> services = {{"despacho", 9}};
+        std::size_t max_flows_per_server = 2000;
+        duration exit_delay{0}; ///< Between the deregistration of a server and its end.
+        bool has_client_domains =
+            false; ///< The clients of a failure domain reach its balancers only.
         duration traffic_time = std::chrono::seconds(24);
-        flow_clients::options clients; ///< Their address and service are set by the deployment.
+        flow_clients::options clients; ///< Of all failure domains together; the deployment sets
+                                       ///< their addresses, domains and services.
         std::uint64_t seed = 0;
     };
 
@@ -75,6 +86,9 @@
 
     const machine& any_of(const std::vector<machine>& machines);
 
+    /** A share of all machines, in a random order. */
+    std::vector<machine> some_machines(double share);
+
     /** The control instance that became the leader last. */
     const machine& leader() const;
 
@@ -99,15 +113,28 @@
     void add_spare_balancers();
     /** Replaces a backend server: a new one starts, and the old one drains and leaves. */
     void replace_server();
+    /** A backend server drains and leaves. */
+    void remove_server();
     /** A backend server ends without an announcement. */
     void end_server();
+    /** A backend server ends without an announcement, and its address goes to another service. */
+    void reuse_address();
     /** Sends the next version of the configuration. Returns whether it was acknowledged. */
     bool replace_configuration();
+    /** Adds routes that get no traffic, in a new version of the configuration. */
+    void add_routes(std::uint32_t count);
     void evacuate(const std::string& domain);
     void take_back(const std::string& domain);
 
 private:
-    endpoint service_address() const;
+    endpoint service_address(std::size_t service) const;
+    std::vector<machine> make_agents() const;
+    void start_clients();
+    std::string routes_text() const;
+    std::string services_text() const;
+    void drain(const machine& removed);
+    void end_departed(const machine& removed, backend_server& server);
+    std::uint64_t sum_of(std::uint64_t flow_clients::counters::*counter) const;
     bool wait_until(time_point deadline, const std::function<bool()>& condition);
     void add_server(const machine& at);
     backend_server* find_server(const std::string& name);
@@ -130,13 +157,14 @@
     std::mutex traffic_lock_; ///< Guards servers_, judge_ and clients_.
     std::vector<std::unique_ptr<backend_server>> servers_;
     std::unique_ptr<packet_routers> routers_;
-    std::unique_ptr<flow_clients> clients_;
+    std::vector<std::unique_ptr<flow_clients>> clients_; ///< One for each failure domain.
     std::thread traffic_;
     std::atomic<bool> is_stopping_{false};
     std::mt19937_64 random_;
     std::multimap<time_point, std::function<void()>> steps_;
     time_point started_at_;
     std::uint64_t configuration_version_ = 0;
+    std::uint32_t idle_routes_ = 0;
     int last_server_ = 0;
 };
 
--- a/tests/process/flow_clients.cpp
+++ b/tests/process/flow_clients.cpp
@@ -16,15 +16,12 @@
 {
 
 constexpr std::uint16_t first_port = 10001;
-constexpr std::uint16_t last_port = 60000;
 constexpr int max_openings = 3;
 constexpr duration opening_timeout = std::chrono::milliseconds(1400);
 constexpr duration first_retransmission_after = std::chrono::milliseconds(200);
 constexpr duration second_retransmission_after = std::chrono::milliseconds(600);
 constexpr duration max_retransmission_interval = std::chrono::milliseconds(1600);
 
-/** Longer than flow_judge::max_misdirection, so that misdirected flows are noticed. */
-constexpr duration request_deadline = std::chrono::seconds(5);
 constexpr double max_lateness_s = 1.2;
 
 } // namespace
@@ -81,13 +78,19 @@
 
 void flow_clients::start_flow(time_point now)
 {
-    flow& added = flows_[next_port_];
-    added = {};
-    added.service = options_.services[next_port_ % options_.services.size()];
+    const std::uint16_t port = next_port_;
+    const bool is_last = port - first_port + 1U >= options_.port_count;
+    next_port_ = is_last ? first_port : static_cast<std::uint16_t>(port + 1);
+    if (flows_.count(port) != 0)
+    {
+        return;
+    }
+    flow& added = flows_[port];
+    added.service = options_.services[port % options_.services.size()];
     added.started_at = now;
     added.due = now;
     added.closes_at = now + random_duration(options_.max_flow_s);
-    next_port_ = next_port_ == last_port ? first_port : static_cast<std::uint16_t>(next_port_ + 1);
+    added.is_short = random_share() < options_.short_flow_share;
 }
 
 void flow_clients::end_flow(flow_map::iterator item)
@@ -119,7 +122,7 @@
     }
     if (!known.is_waiting && now >= known.closes_at)
     {
-        send(now, port, known, flag_acknowledge | flag_finish, known.acknowledged, "");
+        close(now, port, known);
         return false;
     }
     if (!known.is_waiting)
@@ -129,9 +132,10 @@
         known.sent = 0;
         ++known.request;
     }
-    if (now - known.started_at >= request_deadline)
+    if (now - known.started_at >= options_.request_deadline)
     {
         ++totals_.unanswered;
+        judge_.note_given_up(now, key_of(port, known));
         return false;
     }
     send(now, port, known, flag_acknowledge, known.acknowledged, std::to_string(known.request));
@@ -151,21 +155,38 @@
     packet.source = {options_.from.address, port};
     packet.destination = known.service;
     packet.data = data;
-    const endpoint balancer = routers_.choose(packet.source);
+    const endpoint balancer = routers_.choose(options_.domain, {packet.source, packet.destination});
     if (balancer.is_none())
     {
         return;
     }
-    const bool is_late = (flags & flag_open) != 0 && random_share() < options_.late_copy_share;
-    if (is_late)
+    const double delay_s = lateness_s(flags);
+    if (delay_s > 0.0)
     {
-        delayed_.emplace(now + random_duration(max_lateness_s),
+        delayed_.emplace(now + random_duration(delay_s),
                          std::make_pair(balancer, encode_platform_packet(packet)));
         return;
     }
     standins::send_to(fd(), balancer, encode_platform_packet(packet));
 }
 
+/** Maximum delay of the next packet, or 0 if it is sent at once. */
+double flow_clients::lateness_s(std::uint8_t flags)
+{
+    const bool is_opening = (flags & flag_open) != 0;
+    const double share = is_opening ? options_.late_copy_share : options_.late_packet_share;
+    if (random_share() >= share)
+    {
+        return 0.0;
+    }
+    return is_opening ? max_lateness_s : options_.max_packet_lateness_s;
+}
+
+void flow_clients::close(time_point now, std::uint16_t port, flow& known)
+{
+    send(now, port, known, flag_acknowledge | flag_finish, known.acknowledged, "");
+}
+
 void flow_clients::send_delayed(time_point now)
 {
     while (!delayed_.empty() && delayed_.begin()->first <= now)
@@ -186,7 +207,10 @@
     flow& known = found->second;
     if (packet.has(flag_reset))
     {
-        judge_.note_reset(now, key_of(found->first, known));
+        if (packet.checksum == 0)
+        {
+            judge_.note_reset(now, key_of(found->first, known));
+        }
         totals_.not_opened += known.is_open ? 0 : 1;
         end_flow(found);
         return;
@@ -207,6 +231,11 @@
         ++totals_.answers;
         known.is_waiting = false;
         known.due = now + random_duration(options_.max_pause_s);
+        if (known.is_short)
+        {
+            known.closes_at = now;
+            known.due = now;
+        }
     }
     if (packet.has(flag_finish))
     {
--- a/tests/process/flow_clients.hpp
+++ b/tests/process/flow_clients.hpp
@@ -22,12 +22,19 @@
 public:
     struct options
     {
-        endpoint from; ///< Address and port of the clients' socket.
+        endpoint from;      ///< Address and port of the clients' socket.
+        std::string domain; ///< Failure domain of the balancers that they reach; empty for all.
         std::vector<endpoint> services;
         std::size_t concurrent_flows = 60;
         double max_flow_s = 30.0;
         double max_pause_s = 2.5;
-        double late_copy_share = 0.02; ///< Share of opening packets that arrive late.
+        /** Longer than flow_judge::max_misdirection, so that misdirected flows are noticed. */
+        duration request_deadline = std::chrono::seconds(5);
+        double short_flow_share = 0.0;  ///< Share of flows that end after their first answer.
+        double late_copy_share = 0.02;  ///< Share of opening packets that arrive late.
+        double late_packet_share = 0.0; ///< Share of the other packets that arrive late.
+        double max_packet_lateness_s = 0.5;
+        std::uint32_t port_count = 50000; ///< Ports of the clients; used in turn.
         std::uint64_t seed = 1;
     };
 
@@ -63,8 +70,9 @@
         bool is_waiting = false; ///< For the answer to a request.
         time_point started_at;   ///< Of the opening, and then of the current request.
         time_point closes_at;
-        time_point due; ///< When the next packet is sent.
-        int sent = 0;   ///< Number of the next retransmission.
+        bool is_short = false; ///< Ends after its first answer.
+        time_point due;        ///< When the next packet is sent.
+        int sent = 0;          ///< Number of the next retransmission.
         std::uint64_t request = 0;
         std::uint32_t acknowledged = 0;
         std::uint32_t packets = 0;
@@ -74,6 +82,8 @@
 
     void handle(time_point now, const platform_packet& packet);
     void start_flow(time_point now);
+    double lateness_s(std::uint8_t flags);
+    void close(time_point now, std::uint16_t port, flow& known);
     /** Sends what is due. Returns false if the flow is over. */
     bool act(time_point now, std::uint16_t port, flow& known);
     bool act_on_opening(time_point now, std::uint16_t port, flow& known);
--- a/tests/process/flow_continuity.cpp
+++ b/tests/process/flow_continuity.cpp
@@ -12,6 +12,8 @@
 #include <gflags/gflags.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cstdlib>
 #include <filesystem>
 #include <iostream>
 #include <sstream>
@@ -19,14 +21,23 @@
 DEFINE_string(program, "build/release/carawayshelf", "path of the carawayshelf program");
 DEFINE_string(scenario, "", "names of scenarios that run together, separated by commas");
 DEFINE_uint64(seed, 0, "without a scenario: draws some scenarios and their times");
+DEFINE_bool(planned, false, "draws planned work only");
 DEFINE_uint32(network, 80, "second number of the loopback addresses");
 DEFINE_uint32(balancers, 4, "number of balancers");
-DEFINE_uint32(servers, 9, "number of backend servers");
+DEFINE_string(services, "despacho:9", "services and the number of their servers: NAME:COUNT,...");
+DEFINE_uint32(max_flows, 2000, "servers return opening packets beyond this number of flows");
 DEFINE_uint32(flows, 150, "number of concurrent flows");
 DEFINE_double(seconds, 24.0, "duration of the traffic");
 DEFINE_double(flow_seconds, 30.0, "maximum lifetime of a flow");
 DEFINE_double(pause_seconds, 2.5, "maximum pause between two requests of a flow");
+DEFINE_double(exit_delay_seconds, 0.0,
+              "time between the deregistration of a backend server and its end");
+DEFINE_bool(client_domains, false, "clients reach the balancers of their own domain only");
+DEFINE_double(deadline_seconds, 5.0, "clients give a flow up if a request takes longer");
+DEFINE_double(short_flows, 0.0, "share of flows that end after their first answer");
 DEFINE_double(late_copies, 0.02, "share of opening packets that arrive late");
+DEFINE_double(late_packets, 0.0, "share of the clients' other packets that arrive late");
+DEFINE_uint32(ports, 50000, "ports of the clients of a failure domain, used in turn");
 DEFINE_string(keep_logs, "", "folder to copy settings and logs to");
 
 namespace carawayshelf::process_tests
@@ -38,6 +49,20 @@
 /** When the scenarios of --scenario begin. */
 constexpr duration scenario_start = std::chrono::seconds(3);
 
+std::vector<deployment::service_plan> parse_services()
+{
+    std::vector<deployment::service_plan> services;
+    std::istringstream items(FLAGS_services);
+    for (std::string item; std::getline(items, item, ',');)
+    {
+        const std::size_t colon = std::min(item.find(':'), item.size());
+        const std::string count = colon == item.size() ? "" : item.substr(colon + 1);
+        services.push_back({item.substr(0, colon),
+                            static_cast<std::uint32_t>(std::strtoul(count.c_str(), nullptr, 10))});
+    }
+    return services;
+}
+
 deployment::options make_options(const std::string& folder)
 {
     deployment::options options;
@@ -45,13 +70,22 @@
     options.folder = folder;
     options.network = FLAGS_network;
     options.balancers = FLAGS_balancers;
-    options.servers = FLAGS_servers;
+    options.services = parse_services();
+    options.max_flows_per_server = FLAGS_max_flows;
+    options.has_client_domains = FLAGS_client_domains;
+    options.exit_delay = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(FLAGS_exit_delay_seconds));
     options.traffic_time =
         std::chrono::duration_cast<duration>(std::chrono::duration<double>(FLAGS_seconds));
     options.clients.concurrent_flows = FLAGS_flows;
     options.clients.max_flow_s = FLAGS_flow_seconds;
     options.clients.max_pause_s = FLAGS_pause_seconds;
+    options.clients.request_deadline =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(FLAGS_deadline_seconds));
+    options.clients.short_flow_share = FLAGS_short_flows;
     options.clients.late_copy_share = FLAGS_late_copies;
+    options.clients.late_packet_share = FLAGS_late_packets;
+    options.clients.port_count = FLAGS_ports;
     options.seed = FLAGS_seed;
     return options;
 }
@@ -60,7 +94,7 @@
 {
     if (FLAGS_scenario.empty())
     {
-        return draw_scenarios(FLAGS_seed, traffic_time);
+        return draw_scenarios(FLAGS_seed, traffic_time, FLAGS_planned);
     }
     std::vector<timed_scenario> chosen;
     std::istringstream names(FLAGS_scenario);
--- a/tests/process/flow_judge.cpp
+++ b/tests/process/flow_judge.cpp
@@ -19,6 +19,22 @@
     open_.erase(flow);
 }
 
+void flow_judge::note_given_up(time_point now, const packet_flow& flow)
+{
+    const auto found = open_.find(flow);
+    if (found == open_.end())
+    {
+        return;
+    }
+    if (found->second.misdirected.size() >= min_misdirected_packets)
+    {
+        faults_.push_back({now, flow, found->second.server,
+                           "its last packets have gone to other servers only, and its client has "
+                           "given it up"});
+    }
+    open_.erase(found);
+}
+
 void flow_judge::note_server_ended(const std::string& server)
 {
     for (auto item = open_.begin(); item != open_.end();)
--- a/tests/process/flow_judge.hpp
+++ b/tests/process/flow_judge.hpp
@@ -39,6 +39,9 @@
     /** The flow has ended, or its server no longer lives. */
     void note_ended(const packet_flow& flow);
 
+    /** The client has given the flow up because a request got no answer. */
+    void note_given_up(time_point now, const packet_flow& flow);
+
     /** A server has ended: its flows are no longer checked. */
     void note_server_ended(const std::string& server);
 
@@ -67,8 +70,8 @@
         std::string server;
         time_point opened_at;
         time_point misdirected_since;
-        std::set<std::uint64_t> misdirected; ///< Numbers of the packets since the last one that
-                                             ///< reached its server.
+        std::multiset<std::uint64_t> misdirected; ///< Numbers of the packets since the last one
+                                                  ///< that reached its server.
     };
 
     std::unordered_map<packet_flow, open_flow, packet_flow_hasher> open_;
--- a/tests/process/packet_routers.cpp
+++ b/tests/process/packet_routers.cpp
@@ -45,19 +45,37 @@
                                                   { return item.is_in_rotation; }));
 }
 
-endpoint packet_routers::choose(const endpoint& client) const
+/** The lock must be held. */
+std::vector<endpoint> packet_routers::usable_balancers(const std::string& domain) const
 {
-    const std::lock_guard<std::mutex> guard(lock_);
-    std::vector<endpoint> candidates;
+    std::vector<endpoint> all;
+    std::vector<endpoint> ready;
+    std::vector<endpoint> ready_elsewhere;
     for (const polled_balancer& item : balancers_)
     {
+        const endpoint address{item.at.address, ports::datagrams};
+        const bool is_local = domain.empty() || item.at.domain == domain;
+        if (is_local)
+        {
+            all.push_back(address);
+        }
         if (item.is_in_rotation)
         {
-            candidates.push_back({item.at.address, ports::datagrams});
+            (is_local ? ready : ready_elsewhere).push_back(address);
         }
     }
-    return candidates.empty() ? endpoint{}
-                              : candidates[(client.address + client.port) % candidates.size()];
+    if (ready.empty())
+    {
+        return ready_elsewhere;
+    }
+    return ready.size() * 2 < all.size() ? all : ready;
+}
+
+endpoint packet_routers::choose(const std::string& domain, const packet_flow& flow) const
+{
+    const std::lock_guard<std::mutex> guard(lock_);
+    const std::vector<endpoint> candidates = usable_balancers(domain);
+    return candidates.empty() ? endpoint{} : candidates[hash_flow(flow) % candidates.size()];
 }
 
 void packet_routers::poll_readiness()
--- a/tests/process/packet_routers.hpp
+++ b/tests/process/packet_routers.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "carawayshelf_steering/packet_flow.hpp"
 #include "daemon_processes.hpp"
 
 #include <atomic>
 #include <mutex>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -27,8 +29,12 @@
     /** Number of balancers in rotation. */
     std::size_t in_rotation() const;
 
-    /** The balancer for a packet; a none endpoint if none is in rotation. */
-    endpoint choose(const endpoint& client) const;
+    /** The balancer for a packet, chosen by a hash of the flow. A none endpoint if there is none in
+        rotation.
+        @param domain  failure domain whose balancers are used; empty for all. If fewer than half of
+                       them are in rotation, all of them are used; if none is, those of the other
+                       domains. */
+    endpoint choose(const std::string& domain, const packet_flow& flow) const;
 
 private:
     struct polled_balancer
@@ -39,6 +45,7 @@
     };
 
     void poll_readiness();
+    std::vector<endpoint> usable_balancers(const std::string& domain) const;
 
     mutable std::mutex lock_;
     std::vector<polled_balancer> balancers_;
--- a/tests/process/scenarios.cpp
+++ b/tests/process/scenarios.cpp
@@ -20,11 +20,17 @@
 constexpr std::size_t frozen_stride = 3;
 constexpr std::size_t killed_stride = 2;
 
+constexpr double rolled_share = 0.4;
+constexpr std::uint32_t added_routes = 300;
+
 const std::string evacuated_domain = "cuyo-b";
 
-const std::map<std::string, scenario_function>& all_scenarios()
+using scenario_map = std::map<std::string, scenario_function>;
+
+/** Scenarios from which draw_scenarios() draws. A further one would change what each seed draws. */
+const scenario_map& mixed_scenarios()
 {
-    static const std::map<std::string, scenario_function> all = {
+    static const scenario_map all = {
         {"none",
          [](deployment& /*site*/, time_point /*at*/) {
          }},
@@ -158,34 +164,83 @@
     return all;
 }
 
-} // namespace
+/** Planned work of the deployments. */
+const scenario_map& planned_scenarios()
+{
+    static const scenario_map all = []
+    {
+        scenario_map planned = {
+            {"machine-roll",
+             [](deployment& site, time_point at)
+             {
+                 site.restart_in_turn(at, site.some_machines(rolled_share), 1200ms);
+             }},
+            {"scale-in",
+             [](deployment& site, time_point at)
+             {
+                 site.schedule(at, [&site] { site.remove_server(); });
+             }},
+            {"address-reuse",
+             [](deployment& site, time_point at)
+             {
+                 site.schedule(at, [&site] { site.reuse_address(); });
+             }},
+            {"routes",
+             [](deployment& site, time_point at)
+             {
+                 site.schedule(at, [&site] { site.add_routes(added_routes); });
+             }},
+        };
+        for (const char* name : {"balancer-roll", "balancer-add", "control-roll", "leader-stop",
+                                 "agent-roll", "release", "configuration", "evacuation", "signals"})
+        {
+            planned.insert(*mixed_scenarios().find(name));
+        }
+        return planned;
+    }();
+    return all;
+}
 
-std::vector<std::string> scenario_names()
+std::vector<std::string> names_of(const scenario_map& scenarios)
 {
     std::vector<std::string> names;
-    for (const auto& [name, function] : all_scenarios())
+    for (const auto& [name, function] : scenarios)
     {
         names.push_back(name);
     }
     return names;
 }
 
+} // namespace
+
+std::vector<std::string> scenario_names()
+{
+    scenario_map all = mixed_scenarios();
+    all.insert(planned_scenarios().begin(), planned_scenarios().end());
+    return names_of(all);
+}
+
 bool schedule_scenario(deployment& site, const timed_scenario& scenario)
 {
-    const auto found = all_scenarios().find(scenario.first);
-    if (found == all_scenarios().end())
+    for (const scenario_map* scenarios : {&mixed_scenarios(), &planned_scenarios()})
     {
-        return false;
+        const auto found = scenarios->find(scenario.first);
+        if (found != scenarios->end())
+        {
+            found->second(site, site.started_at() + scenario.second);
+            return true;
+        }
     }
-    found->second(site, site.started_at() + scenario.second);
-    return true;
+    return false;
 }
 
-std::vector<timed_scenario> draw_scenarios(std::uint64_t seed, duration traffic_time)
+std::vector<timed_scenario> draw_scenarios(std::uint64_t seed, duration traffic_time,
+                                           bool is_planned)
 {
     std::mt19937_64 random(seed);
     std::uniform_real_distribution<double> part_of_time(0.04, 0.6);
-    const std::vector<std::string> names = scenario_names();
+    const std::vector<std::string> names =
+        names_of(is_planned ? planned_scenarios() : mixed_scenarios());
     std::vector<timed_scenario> drawn;
     const std::size_t count = 3 + random() % 4;
     for (std::size_t i = 0; i < count; ++i)
--- a/tests/process/scenarios.hpp
+++ b/tests/process/scenarios.hpp
@@ -20,7 +20,9 @@
     unknown. */
 bool schedule_scenario(deployment& site, const timed_scenario& scenario);
 
-/** Draws three to six scenarios, with times in the first part of the traffic. */
-std::vector<timed_scenario> draw_scenarios(std::uint64_t seed, duration traffic_time);
+/** Draws three to six scenarios, with times in the first part of the traffic.
+    @param is_planned  draws planned work only */
+std::vector<timed_scenario> draw_scenarios(std::uint64_t seed, duration traffic_time,
+                                           bool is_planned);
 
 } // namespace carawayshelf::process_tests
