Keep a departing server's member until the server has ended

This happens under planned work: releases and scale-in of servers with long flows that idle through the draining.

Cause: an agent took the announcement of a departure for the end of its server and retired its member at once. Balancers then looked for the server's flows at all other members, and the last one reset them. The server ends only after the acknowledgement, and some seconds later if it gets none.

Evidence: flow_continuity with release and scale-in, 600 flows with pauses of up to 10 s.

Tests: server_memberships/a_departing_server_remains_a_draining_member_until_it_has_ended fails before; packet_agent_decisions/a_departing_server_keeps_its_flows_until_it_has_ended; connections/a_departing_server_has_ended_once_its_address_refuses_connections; in packet_history servers live on for up to 3 s, and members retired early are an injected fault that is detected; tests/process/flows.sh departing_servers. a_departure_that_control_did_not_confirm_is_proposed_again and a_join_that_is_answered_after_the_departure_leaves_no_member took the departure for the end of the server; they now also report the end.

--- a/modules/carawayshelf_io/packet_agent_daemon.cpp
+++ b/modules/carawayshelf_io/packet_agent_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "carawayshelf_io/control_client.hpp"
 #include "carawayshelf_io/daemon_signals.hpp"
+#include "carawayshelf_io/departure_monitor.hpp"
 #include "carawayshelf_io/http_server.hpp"
 #include "carawayshelf_io/json_log.hpp"
 #include "carawayshelf_io/metrics_page.hpp"
@@ -48,7 +49,7 @@
               [this, &platform](const http_request& request, const http_responder& respond)
               { platform.handle_readiness(table_.held() != 0, request, respond); },
               max_announcement_bytes),
-          retry_timer_(io)
+          retry_timer_(io), departure_monitor_(io, settings.server)
     {
     }
 
@@ -174,6 +175,18 @@
             });
     }
 
+    void watch_departing_server() override
+    {
+        departure_monitor_.start([this] { membership_.handle_server_end(); });
+    }
+
+    void note_server_end() override
+    {
+        departure_monitor_.stop();
+        worker_.post([](time_point instant, packet_agent& core)
+                     { core.handle_server_end(instant); });
+    }
+
     std::uint64_t new_epoch() override
     {
         std::random_device device;
@@ -236,6 +249,7 @@
     http_server announcement_server_;
     http_server readiness_server_;
     boost::asio::steady_timer retry_timer_;
+    departure_monitor departure_monitor_;
 };
 
 } // namespace
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -168,6 +168,19 @@
     return true;
 }
 
+void packet_agent::handle_server_end(time_point now)
+{
+    if (has_server_ || departed_server_id_.empty())
+    {
+        return;
+    }
+    while (!flows_.empty())
+    {
+        erase_flow(now, flows_.begin());
+    }
+    has_no_earlier_flows_ = true;
+}
+
 const std::string& packet_agent::service() const
 {
     return has_server_ ? server_.service : options_.service;
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -92,10 +92,15 @@
     announcement_verdict handle_announcement(time_point now,
                                              const server_announcement& announcement);
 
-    /** Handles the departure of the backend server. Returns false, and ignores it, if another
-        server has taken its place. */
+    /** Handles the announcement of the backend server that it is about to end: it gets no new flows
+        from now on. Its flows still reach it. Returns false, and ignores it, if another server has
+        taken its place. */
     bool handle_departure(const std::string& id);
 
+    /** Handles the end of a backend server that has announced its departure: its flows are lost.
+        Ignored while a server is known. */
+    void handle_server_end(time_point now);
+
     /** Handles an envelope from a balancer or an agent. One that arrives before the first table is
         kept for it.
         @param packet  the packet in the envelope; may be modified
--- a/modules/carawayshelf_packets/server_membership.cpp
+++ b/modules/carawayshelf_packets/server_membership.cpp
@@ -22,6 +22,10 @@
 void server_membership::handle_announcement(const server_announcement& announcement,
                                             const acknowledgement_handler& done)
 {
+    if (is_departing_)
+    {
+        end_departure(); // The departing server has ended: another one uses its address.
+    }
     const bool is_changed =
         announcement.id != server_id_ || announcement.is_draining != is_draining_;
     if (is_changed)
@@ -96,8 +100,29 @@
     {
         return;
     }
-    port_.log_change("backend server " + id + " has departed");
-    complete_pending_draining(true); // The server has departed, so it gets no new flows.
+    if (!std::exchange(is_departing_, true))
+    {
+        port_.log_change("backend server " + id + " announces its departure");
+    }
+    complete_pending_draining(true); // The agent admits no flows for a departing server.
+    is_draining_ = true;
+    port_.report();
+    port_.watch_departing_server();
+}
+
+void server_membership::handle_server_end()
+{
+    if (is_departing_)
+    {
+        port_.log_change("backend server " + server_id_ + " has ended");
+        end_departure();
+    }
+}
+
+void server_membership::end_departure()
+{
+    is_departing_ = false;
+    port_.note_server_end();
     leave();
     service_.clear();
     server_id_.clear();
--- a/modules/carawayshelf_packets/server_membership.hpp
+++ b/modules/carawayshelf_packets/server_membership.hpp
@@ -31,6 +31,14 @@
     /** Schedules a call of server_membership::retry() after a delay. */
     virtual void schedule_retry() = 0;
 
+    /** Calls server_membership::handle_server_end() once the backend server, which has announced
+       its departure, has ended. */
+    virtual void watch_departing_server() = 0;
+
+    /** The departed backend server has ended, or another one has taken its place: its flows are
+        lost. */
+    virtual void note_server_end() = 0;
+
     /** Returns an epoch that no earlier member had. */
     virtual std::uint64_t new_epoch() = 0;
 
@@ -43,8 +51,9 @@
 };
 
 /** Keeps an agent's membership in the replicated state in line with its backend server: joins when
-    the server announces itself, retires when it departs, and records draining. Not thread-safe; no
-    I/O. */
+    the server announces itself, records draining, and retires when the server has ended. A server
+    that announces its departure still holds its flows until it ends, so that its member stays until
+    then. Not thread-safe; no I/O. */
 class server_membership
 {
 public:
@@ -70,10 +79,14 @@
         one. */
     void handle_repeated_announcement(const std::string& id, const acknowledgement_handler& done);
 
-    /** Handles the departure of the backend server. Ignored if another server has taken its place.
-     */
+    /** Handles the announcement of the backend server that it is about to end: the member accepts
+       no new flows from now on. Ignored if another server has taken its place. */
     void handle_departure(const std::string& id);
 
+    /** Handles the end of a backend server that has announced its departure: retires the member.
+        Ignored without such an announcement. */
+    void handle_server_end();
+
     /** Proposes again the joins and retirements that control did not confirm. */
     void retry();
 
@@ -93,6 +106,7 @@
     void retire(member_id member);
     void acknowledge_when_recorded(const acknowledgement_handler& done);
     void leave();
+    void end_departure();
     void clear_member();
     void record_draining();
     void handle_join_result(std::uint64_t epoch, member_state joined_as, error_kind error,
@@ -109,6 +123,7 @@
     bool is_joining_ = false;
     bool has_joined_ = false; ///< Since this process started.
     bool is_draining_recorded_ = false;
+    bool is_departing_ = false; ///< The backend server has announced its departure.
     member_id member_ = 0;
     generation joined_at_ = 0;
     std::set<member_id> retiring_; ///< Members whose retirement control has not confirmed.
--- a/tests/fakes/packet_simulation.cpp
+++ b/tests/fakes/packet_simulation.cpp
@@ -18,6 +18,7 @@
 constexpr duration max_update_delay = std::chrono::milliseconds(280); ///< From control to a node.
 constexpr duration confirm_interval = std::chrono::milliseconds(250);
 constexpr duration announce_interval = std::chrono::milliseconds(700);
+constexpr std::uint32_t max_departure_ms = 3000; ///< From the departure of a server to its end.
 constexpr duration lease = std::chrono::seconds(3);
 constexpr duration tick_interval = packet_agent::tick_interval;
 const std::array<const char*, 2> domains = {"cuyo-a", "cuyo-b"};
@@ -137,11 +138,18 @@
         break;
     }
     case packet_step_kind::leave:
-        if (selected_agent.is_server_running && selected_agent.is_drain_acknowledged)
+        if (selected_agent.is_server_running && selected_agent.is_drain_acknowledged &&
+            !selected_agent.is_server_departing)
         {
-            selected_agent.is_server_running = false;
+            selected_agent.is_server_departing = true;
             selected_agent.core->handle_departure(selected_agent.name);
-            change(retire_member{selected_agent.member});
+            if (faults_.retire_departing_servers)
+            {
+                change(retire_member{selected_agent.member});
+            }
+            schedule(std::chrono::milliseconds(step.selector % max_departure_ms),
+                     [this, agent, incarnation = selected_agent.server_incarnation]
+                     { end_departing_server(agent, incarnation); });
         }
         break;
     case packet_step_kind::restart_agent:
@@ -168,6 +176,7 @@
         selected_agent.service = "stranger";
         selected_agent.is_server_running = true;
         selected_agent.is_server_draining = false;
+        selected_agent.is_server_departing = false;
         selected_agent.is_drain_acknowledged = false;
         selected_agent.held_flows.clear();
         start_agent(agent);
@@ -405,6 +414,19 @@
         });
 }
 
+/** Ends a server that has announced its departure, unless another one has taken its place. */
+void packet_simulation::end_departing_server(std::size_t index, std::uint64_t incarnation)
+{
+    agent_node& node = *agents_[index];
+    if (node.server_incarnation != incarnation || !node.is_server_running)
+    {
+        return;
+    }
+    node.is_server_running = false;
+    node.core->handle_server_end(now_);
+    change(retire_member{node.member});
+}
+
 void packet_simulation::announce_server(std::size_t index)
 {
     agent_node& node = *agents_[index];
@@ -412,23 +434,9 @@
     {
         return;
     }
-    server_announcement announcement;
-    announcement.id = node.name;
-    announcement.service = faults_.announce_wrong_service ? "ordering" : node.service;
-    announcement.started_at = node.server_incarnation;
-    announcement.sequence = ++node.announcements;
-    announcement.is_draining = node.is_server_draining && !faults_.hide_drain_from_agent;
-    announcement.slots = 2;
-    node.core->handle_announcement(now_, announcement);
-    announce_member_of(index);
-    const auto member = cluster_state_.data().members.find(node.member);
-    const bool is_recorded = member != cluster_state_.data().members.end() &&
-                             member->second.state == member_state::draining;
-    if (node.is_server_draining && !node.is_drain_acknowledged &&
-        (is_recorded || faults_.acknowledge_drain_unrecorded))
+    if (!node.is_server_departing)
     {
-        node.is_drain_acknowledged = true;
-        node.drain_acknowledged_at = now_;
+        send_announcement(index);
     }
     const std::uint64_t incarnation = node.incarnation;
     schedule(announce_interval,
@@ -452,6 +460,29 @@
     }
 }
 
+void packet_simulation::send_announcement(std::size_t index)
+{
+    agent_node& node = *agents_[index];
+    server_announcement announcement;
+    announcement.id = node.name;
+    announcement.service = faults_.announce_wrong_service ? "ordering" : node.service;
+    announcement.started_at = node.server_incarnation;
+    announcement.sequence = ++node.announcements;
+    announcement.is_draining = node.is_server_draining && !faults_.hide_drain_from_agent;
+    announcement.slots = 2;
+    node.core->handle_announcement(now_, announcement);
+    announce_member_of(index);
+    const auto member = cluster_state_.data().members.find(node.member);
+    const bool is_recorded = member != cluster_state_.data().members.end() &&
+                             member->second.state == member_state::draining;
+    if (node.is_server_draining && !node.is_drain_acknowledged &&
+        (is_recorded || faults_.acknowledge_drain_unrecorded))
+    {
+        node.is_drain_acknowledged = true;
+        node.drain_acknowledged_at = now_;
+    }
+}
+
 void packet_simulation::announce_member_of(std::size_t index)
 {
     agent_node& node = *agents_[index];
--- a/tests/fakes/packet_simulation.hpp
+++ b/tests/fakes/packet_simulation.hpp
@@ -56,6 +56,7 @@
     bool corrupt_packets = false;              ///< The content of packets in envelopes is changed.
     bool announce_wrong_service = false;       ///< Settings and announcements name another service.
     bool probe_all_on_each_table = false;      ///< A balancer probes all agents at each table.
+    bool retire_departing_servers = false;     ///< A member is retired before its server has ended.
     bool forget_earlier_flows = false; ///< A restarted agent believes that it knows all flows.
 };
 
@@ -128,6 +129,8 @@
     void start_agent(std::size_t index);
     void announce_member_of(std::size_t index);
     void announce_server(std::size_t index);
+    void send_announcement(std::size_t index);
+    void end_departing_server(std::size_t index, std::uint64_t incarnation);
     void announce_foreign_server(agent_node& node, std::uint32_t selector);
     void add_balancer();
     void start_balancer(std::size_t index);
--- a/tests/fakes/packet_simulation_nodes.hpp
+++ b/tests/fakes/packet_simulation_nodes.hpp
@@ -59,6 +59,7 @@
     std::uint64_t server_incarnation = 1; ///< Incremented when another server starts in its place.
     bool is_server_running = true;
     bool is_server_draining = false;
+    bool is_server_departing = false; ///< Has announced its departure, and still holds its flows.
     bool is_drain_acknowledged = false;
     time_point drain_acknowledged_at;
     std::uint64_t announcements = 0;
--- a/tests/process/flows.sh
+++ b/tests/process/flows.sh
@@ -50,5 +50,8 @@
     --pause_seconds=0.8 --late_copies=0.03
 # An agent is frozen, and another is down for 6 s, beside live servers, while balancers are restarted.
 start_run unreachable_agents --scenario=agent-freeze,agent-down,balancer-roll --seed=3
+# Servers that leave live on for a while after they have announced their departure, with idle flows.
+start_run departing_servers --scenario=release,scale-in --services=despacho:7,vitrina:3 --balancers=7 \
+    --client_domains --flows=600 --short_flows=0.05 --pause_seconds=10 --exit_delay_seconds=3
 finish_runs
 exit "$failed"
--- a/tests/unit/connection_test.cpp
+++ b/tests/unit/connection_test.cpp
@@ -4,6 +4,7 @@
     states.
 */
 #include "carawayshelf_io/balancer_worker.hpp"
+#include "carawayshelf_io/departure_monitor.hpp"
 #include "carawayshelf_io/frame_connection.hpp"
 #include "carawayshelf_io/restart_state_store.hpp"
 
@@ -93,6 +94,27 @@
     BOOST_TEST(counters.drops.get(balancer_drop::malformed_envelope) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_departing_server_has_ended_once_its_address_refuses_connections)
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context io;
+    const endpoint server{0x7F000B04, 7604};
+    tcp::acceptor listener(io, to_asio(server));
+    departure_monitor monitor(io, server);
+    int ends = 0;
+    monitor.start([&ends] { ++ends; });
+    io.run_for(departure_monitor::check_interval * 3);
+    BOOST_TEST(ends == 0);
+    listener.close();
+    io.run_for(departure_monitor::check_interval * 3);
+    BOOST_TEST(ends == 1);
+    monitor.start([&ends] { ++ends; });
+    monitor.stop();
+    io.restart();
+    io.run_for(departure_monitor::check_interval * 2);
+    BOOST_TEST(ends == 1);
+}
+
 BOOST_AUTO_TEST_CASE(the_time_that_datagrams_wait_in_a_socket_is_measured)
 {
     const endpoint address{0x7F000B03, 7603};
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -322,6 +322,39 @@
     BOOST_TEST(fixture.to_server.empty());
 }
 
+BOOST_AUTO_TEST_CASE(a_departing_server_keeps_its_flows_until_it_has_ended)
+{
+    agent_fixture fixture;
+    fixture.start();
+    fixture.core->note_first_incarnation();
+    fixture.open(2000);
+    fixture.answer_opening(2000);
+    BOOST_TEST(fixture.core->handle_departure("server"));
+    fixture.send(fixture.packet_of(2000, false), {own_data});
+    BOOST_TEST(fixture.to_server.size() == 2U);
+    fixture.open(2001);
+    BOOST_TEST(fixture.to_server.size() == 2U);
+    fixture.core->handle_server_end(fixture.now);
+    BOOST_TEST(fixture.core->flow_count() == 0U);
+    BOOST_TEST(fixture.core->load() == 0U);
+    fixture.send(fixture.packet_of(2000, false), {own_data});
+    BOOST_TEST(fixture.to_server.size() == 2U);
+    fixture.answer_absent(2000, other_data);
+    BOOST_TEST(fixture.was_reset());
+}
+
+BOOST_AUTO_TEST_CASE(the_end_of_an_earlier_server_leaves_the_flows_of_a_new_one)
+{
+    agent_fixture fixture;
+    fixture.start();
+    fixture.core->handle_server_end(fixture.now);
+    fixture.core->handle_departure("server");
+    fixture.core->handle_announcement(fixture.now, agent_fixture::own_announcement("server-2", 2));
+    fixture.open(2000);
+    fixture.core->handle_server_end(fixture.now);
+    BOOST_TEST(fixture.core->flow_count() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(packets_received_before_the_first_table_are_handled_with_it)
 {
     agent_fixture fixture;
--- a/tests/unit/packet_history_test.cpp
+++ b/tests/unit/packet_history_test.cpp
@@ -137,7 +137,7 @@
         const char* name;
         injected_packet_faults faults;
     };
-    std::vector<fault_case> cases(8);
+    std::vector<fault_case> cases(9);
     cases[0].name = "other members hidden from agents";
     cases[0].faults.hide_other_members = true;
     cases[1].name = "departures hidden from balancers";
@@ -154,6 +154,8 @@
     cases[6].faults.probe_all_on_each_table = true;
     cases[7].name = "a restarted agent believes that it knows all flows";
     cases[7].faults.forget_earlier_flows = true;
+    cases[8].name = "members retired before their servers have ended";
+    cases[8].faults.retire_departing_servers = true;
     for (const fault_case& item : cases)
     {
         std::string violation;
--- a/tests/unit/server_membership_test.cpp
+++ b/tests/unit/server_membership_test.cpp
@@ -38,6 +38,17 @@
         return ++epochs;
     }
 
+    void watch_departing_server() override
+    {
+        is_watching = true;
+    }
+
+    void note_server_end() override
+    {
+        is_watching = false;
+        ++server_ends;
+    }
+
     void note_first_incarnation() override
     {
         is_first_incarnation = true;
@@ -71,6 +82,8 @@
     std::uint64_t epochs = 0;
     int reports = 0;
     int scheduled_retries = 0;
+    bool is_watching = false;
+    int server_ends = 0;
     bool is_first_incarnation = false;
 };
 
@@ -184,11 +197,71 @@
     BOOST_TEST(answered->value());
 }
 
-BOOST_AUTO_TEST_CASE(a_join_that_is_answered_after_the_departure_leaves_no_member)
+/** Otherwise other agents reset the flows that the server still holds. */
+BOOST_AUTO_TEST_CASE(a_departing_server_remains_a_draining_member_until_it_has_ended)
+{
+    membership_fixture fixture;
+    fixture.join();
+    const int reports = fixture.port.reports;
+    fixture.membership.handle_departure("server");
+    BOOST_TEST(fixture.port.proposed.empty());
+    BOOST_TEST(fixture.membership.member() == 7U);
+    BOOST_TEST((fixture.membership.state() == member_state::draining));
+    BOOST_TEST(fixture.port.reports > reports);
+    BOOST_TEST(fixture.port.is_watching);
+    fixture.membership.handle_departure("server"); // Sent again.
+    BOOST_TEST(fixture.port.proposed.empty());
+    fixture.membership.handle_server_end();
+    BOOST_TEST(fixture.port.next<retire_member>().member == 7U);
+    BOOST_TEST(fixture.port.server_ends == 1);
+    fixture.port.answer();
+    fixture.membership.handle_server_end();
+    BOOST_TEST(fixture.port.proposed.empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_end_of_a_server_that_has_not_announced_its_departure_changes_nothing)
+{
+    membership_fixture fixture;
+    fixture.join();
+    fixture.membership.handle_server_end();
+    BOOST_TEST(fixture.port.proposed.empty());
+    BOOST_TEST(fixture.port.server_ends == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_server_replaces_a_departing_one)
+{
+    membership_fixture fixture;
+    fixture.join();
+    fixture.membership.handle_departure("server");
+    fixture.announce("server-2");
+    BOOST_TEST(!fixture.port.is_watching);
+    BOOST_TEST(fixture.port.next<retire_member>().member == 7U);
+    fixture.port.answer();
+    BOOST_TEST((fixture.port.next<announce_member>().state == member_state::warm));
+    fixture.port.answer(error_kind::none, 8);
+    fixture.membership.handle_server_end(); // Of the earlier server.
+    BOOST_TEST(fixture.membership.member() == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(a_departing_server_that_control_retired_joins_again_as_draining)
+{
+    membership_fixture fixture;
+    fixture.join();
+    fixture.membership.handle_departure("server");
+    table_update update;
+    update.held = 9;
+    subscriber_table table;
+    table.apply(update);
+    fixture.membership.handle_table(table);
+    BOOST_TEST((fixture.port.next<announce_member>().state == member_state::draining));
+}
+
+BOOST_AUTO_TEST_CASE(a_join_that_is_answered_after_the_end_of_the_server_leaves_no_member)
 {
     membership_fixture fixture;
     fixture.announce("server");
     fixture.membership.handle_departure("server");
+    fixture.membership.handle_server_end();
     fixture.port.answer(error_kind::none, 7);
     BOOST_TEST(fixture.port.next<retire_member>().member == 7U);
     BOOST_TEST(fixture.membership.member() == 0U);
@@ -201,6 +274,7 @@
     membership_fixture fixture;
     fixture.join();
     fixture.membership.handle_departure("server");
+    fixture.membership.handle_server_end();
     fixture.port.answer(error_kind::no_leader);
     BOOST_TEST(fixture.port.scheduled_retries == 1);
     fixture.membership.retry();
