Refuse an opening packet only with the consent of all members

Cause: an agent refused a first copy by a reset if it had waited for less than 100 ms in sockets and queues. The time in the network isn't known, and meanwhile a retransmission may have opened the flow at another server.

Change: the agent asks all members at once. A member that doesn't hold the flow agrees, and admits no copy of the opening for 2.4 s; one that holds it says so. The reset is sent when all agree. If they can't be asked (a silent member, an agent that restarted, no fresh table, the limit of 256 messages in 100 ms), the packet is dropped.

--- a/modules/carawayshelf_packets/carawayshelf_packets.hpp
+++ b/modules/carawayshelf_packets/carawayshelf_packets.hpp
@@ -29,6 +29,6 @@
 #include "carawayshelf_packets/packet_balancer.hpp"
 #include "carawayshelf_packets/packet_format.hpp"
 #include "carawayshelf_packets/packet_table.hpp"
-#include "carawayshelf_packets/returned_flows.hpp"
+#include "carawayshelf_packets/recent_flows.hpp"
 #include "carawayshelf_packets/server_membership.hpp"
 #include "carawayshelf_packets/service_time_meter.hpp"
--- a/modules/carawayshelf_packets/flow_inquiries.cpp
+++ b/modules/carawayshelf_packets/flow_inquiries.cpp
@@ -32,20 +32,22 @@
                                             const packet_route& route,
                                             const endpoint& inquiring_agent,
                                             const packet_envelope& envelope,
-                                            std::string_view packet)
+                                            std::string_view packet, bool is_refusal)
 {
     inquiry& added = inquiries_[envelope.flow];
     added.envelope = envelope;
     added.packet = std::string(packet);
+    added.is_refusal = is_refusal;
     added.started_at = now;
     added.required_generation = envelope.table_generation;
     return add_changed_members(table, route, inquiring_agent, added);
 }
 
-bool flow_inquiries::handle_absent(const packet_flow& flow, const endpoint& member, generation held)
+bool flow_inquiries::handle_absent(const packet_flow& flow, const endpoint& member, generation held,
+                                   bool is_refusal)
 {
     const auto found = inquiries_.find(flow);
-    if (found == inquiries_.end())
+    if (found == inquiries_.end() || found->second.is_refusal != is_refusal)
     {
         return false;
     }
--- a/modules/carawayshelf_packets/flow_inquiries.hpp
+++ b/modules/carawayshelf_packets/flow_inquiries.hpp
@@ -14,8 +14,9 @@
 namespace carawayshelf
 {
 
-/** Inquiries of an agent: searches for a flow at all members of its route's services at once, after
-    the likely members have returned a packet of the flow.
+/** Inquiries of an agent to all members of a route's services at once. They search for a flow,
+   after the likely members have returned a packet of it, or prepare the refusal of a flow that no
+   member could admit: another copy of its opening packet may have opened it, or may do so later.
     Each member answers whether it holds the flow. No member holds it if all answer that they don't,
     and neither they nor the processes that handled the packet before had a newer table than the one
     used to choose the members. This takes one round trip, however many members there are.
@@ -32,11 +33,12 @@
     /** Maximum number of concurrent inquiries. */
     static constexpr std::size_t max_inquiries = 512;
 
-    /** A search for one flow. */
+    /** An inquiry about one flow. */
     struct inquiry
     {
         packet_envelope envelope;
         std::string packet;
+        bool is_refusal = false; ///< The packet is an opening packet that shall be refused.
         time_point started_at;
         generation member_table_generation =
             0;                              ///< Generation of the table used to choose the members.
@@ -58,7 +60,8 @@
         @param inquiring_agent  gets no inquiry; its server has returned the packet already */
     std::vector<endpoint> start(time_point now, const packet_table& table,
                                 const packet_route& route, const endpoint& inquiring_agent,
-                                const packet_envelope& envelope, std::string_view packet);
+                                const packet_envelope& envelope, std::string_view packet,
+                                bool is_refusal = false);
 
     /** Whether there is an inquiry for a flow. */
     bool contains(const packet_flow& flow) const
@@ -78,8 +81,10 @@
 
     /** Handles an answer that a member doesn't hold the flow. Returns whether take_concluded() may
         return the inquiry now.
-        @param held  generation of the member's table */
-    bool handle_absent(const packet_flow& flow, const endpoint& member, generation held);
+        @param held        generation of the member's table
+        @param is_refusal  the member admits no opening packet of the flow from now on */
+    bool handle_absent(const packet_flow& flow, const endpoint& member, generation held,
+                       bool is_refusal = false);
 
     /** Handles an answer that a member holds the flow: ends the inquiry. */
     void handle_holder(const packet_flow& flow)
--- a/modules/carawayshelf_packets/opening_queue.hpp
+++ b/modules/carawayshelf_packets/opening_queue.hpp
@@ -62,6 +62,11 @@
         @param client_gone_at  unless the client retransmits again by then, it has given up */
     bool record_retransmission(time_point client_gone_at, const packet_flow& flow);
 
+    bool contains(const packet_flow& flow) const
+    {
+        return keys_.count(flow) != 0;
+    }
+
     bool is_empty() const
     {
         return queue_.empty();
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -228,6 +228,11 @@
         }
         return; // A retransmission. If the flow is open already, it is delayed, and dropped.
     }
+    if (refused_flows_.contains(now, packet.flow()))
+    {
+        drop_packet(packet_drop::too_late, envelope, packet.header);
+        return;
+    }
     const duration silence = opening_timing::max_silence_after(packet.header.acknowledged);
     if (opening_queue_.record_retransmission(now + silence, packet.flow()))
     {
@@ -353,7 +358,7 @@
         // refused at once.
         if (reason == forward_reason::max_flows || !queue_opening(now, envelope, route, packet))
         {
-            refuse(now, envelope, packet.header);
+            refuse(now, envelope, route, packet);
         }
         return;
     }
@@ -402,7 +407,7 @@
 
 void packet_agent::admit_queued(time_point now)
 {
-    refuse_expired(now);
+    drop_expired(now);
     while (!opening_queue_.is_empty() &&
            requests_in_flight_ < server_.slots + options_.requests_ahead)
     {
@@ -440,29 +445,45 @@
     }
 }
 
-/** Resets the flow, unless another copy of its opening packet may have opened it at another member.
-    In that case the packet is only dropped, and the client gives up by itself. */
+/** Refuses a flow by a reset, once all members have answered that they don't hold it and admit no
+    copy of its opening packet: a copy may have opened the flow at another member. Drops the packet
+    if that can't be found out; the client retransmits it or gives up by itself. */
 void packet_agent::refuse(time_point now, const packet_envelope& envelope,
-                          const packet_header& header)
+                          const packet_route& route, const client_packet& packet)
 {
     notify_balancer(now, packet_envelope_kind::load, {}, envelope.balancer);
-    if (opening_timing::may_have_other_copies(header.acknowledged, envelope.waited) ||
-        (envelope.flags & opening_flag_waited_for_table) != 0)
+    if (!can_ask_about_refusal(now, route))
     {
-        drop_packet(packet_drop::too_late, envelope, header);
+        drop_packet(packet_drop::too_late, envelope, packet.header);
         return;
     }
-    reset_flow(packet_reset::refused, envelope, header);
+    refused_flows_.add(now, packet.flow());
+    start_inquiry(now, envelope, route, packet);
+}
+
+/** Whether all members are likely to answer, and the limit of inquiries allows to ask them. */
+bool packet_agent::can_ask_about_refusal(time_point now, const packet_route& route) const
+{
+    const auto has_silent_member = [this](std::uint32_t service)
+    {
+        const std::vector<packet_member>& members = table_->members_of(service);
+        return std::any_of(members.begin(), members.end(),
+                           [](const packet_member& member) { return member.is_silent; });
+    };
+    return refusal_messages_left_ != 0 && knows_all_flows(now) && is_table_fresh(now) &&
+           std::none_of(route.services.begin(), route.services.end(), has_silent_member);
 }
 
-void packet_agent::refuse_expired(time_point now)
+/** Drops the queued packets whose deadline has passed: their clients give up at the same time. */
+void packet_agent::drop_expired(time_point now)
 {
     for (queued_opening& expired : opening_queue_.take_expired(now))
     {
         packet_header header;
         if (format_.decode(expired.packet, header))
         {
-            refuse(now, expired.envelope_at(now), header);
+            notify_balancer(now, packet_envelope_kind::load, {}, expired.envelope.balancer);
+            drop_packet(packet_drop::too_late, expired.envelope_at(now), header);
         }
     }
 }
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -13,7 +13,7 @@
 #include "carawayshelf_packets/packet_observer.hpp"
 #include "carawayshelf_packets/packet_port.hpp"
 #include "carawayshelf_packets/packet_table.hpp"
-#include "carawayshelf_packets/returned_flows.hpp"
+#include "carawayshelf_packets/recent_flows.hpp"
 #include "carawayshelf_packets/server_announcement.hpp"
 #include "carawayshelf_packets/service_time_meter.hpp"
 
@@ -57,6 +57,18 @@
         250 ms plus possible delays. Flows are reset only by a fresh table. */
     static constexpr duration max_confirmation_age = std::chrono::milliseconds(400);
 
+    /** Longer than clients go on to retransmit a packet. */
+    static constexpr duration returned_flow_lifetime = std::chrono::seconds(10);
+
+    /** A reset that refuses a flow reaches the client in this time after the members were asked, or
+        the client has given up. */
+    static constexpr duration refused_flow_lifetime =
+        flow_inquiries::timeout + opening_timing::attempt_timeout;
+
+    /** Maximum number of inquiry packets between two calls of tick() that ask members about flows
+       to refuse. Beyond it, opening packets that can't be admitted are dropped. */
+    static constexpr std::size_t max_refusal_messages_per_tick = 256;
+
     /** Interval of tick(). */
     static constexpr duration tick_interval = std::chrono::milliseconds(100);
 
@@ -199,8 +211,10 @@
     bool queue_opening(time_point now, const packet_envelope& envelope, const packet_route& route,
                        const client_packet& packet);
     void admit_queued(time_point now);
-    void refuse_expired(time_point now);
-    void refuse(time_point now, const packet_envelope& envelope, const packet_header& header);
+    void drop_expired(time_point now);
+    void refuse(time_point now, const packet_envelope& envelope, const packet_route& route,
+                const client_packet& packet);
+    bool can_ask_about_refusal(time_point now, const packet_route& route) const;
 
     // Open flows, forwarding and notifications, in packet_agent_flows.cpp.
     void handle_flow_packet(time_point now, const packet_envelope& envelope,
@@ -238,9 +252,11 @@
     void send_inquiries_to_changed_members();
     void conclude_inquiries(time_point now);
     void drop_expired_inquiries(time_point now);
+    void handle_refusal_inquiry(time_point now, const packet_envelope& envelope,
+                                const client_packet& packet);
     void handle_inquiry_answer(time_point now, const packet_envelope& answer);
     void answer_inquiry(time_point now, packet_envelope_kind kind, const packet_flow& key,
-                        const endpoint& inquiring_agent);
+                        const endpoint& inquiring_agent, std::uint8_t flags = 0);
     void report_holder(time_point now, const packet_flow& key, flow& item);
 
     options options_;
@@ -261,7 +277,11 @@
 
     early_packets early_packets_;
     flow_map flows_;
-    returned_flows returned_flows_;
+    /** Flows of which the backend server has returned a packet, so that it doesn't hold them. Such
+       a flow can't come to it later, except by an opening packet. */
+    recent_flows returned_flows_{returned_flow_lifetime};
+    recent_flows refused_flows_{refused_flow_lifetime}; ///< Their opening packets are dropped.
+    std::size_t refusal_messages_left_ = max_refusal_messages_per_tick;
     envelope_ring delivered_envelopes_;
     flow_inquiries inquiries_;
     cold_rate_limiter cold_limiter_;
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -64,6 +64,11 @@
 void packet_agent::handle_packet(time_point now, const packet_envelope& envelope,
                                  const client_packet& packet)
 {
+    if (packet.header.is_opening && envelope.kind == packet_envelope_kind::inquiry)
+    {
+        handle_refusal_inquiry(now, envelope, packet);
+        return;
+    }
     const packet_route* route = table_->find_route(packet.header.destination);
     if (route != nullptr)
     {
@@ -242,7 +247,7 @@
     if (was_last_candidate ||
         (next.is_none() && least_loaded == 0 && !add_untried_members(envelope, route)))
     {
-        refuse(now, envelope, packet.header);
+        refuse(now, envelope, route, packet);
         return;
     }
     if (next.is_none() && least_loaded != 0)
@@ -398,6 +403,7 @@
 
 void packet_agent::tick(time_point now)
 {
+    refusal_messages_left_ = max_refusal_messages_per_tick;
     erase_idle_flows(now);
     end_abandoned_requests(now);
     admit_queued(now);
--- a/modules/carawayshelf_packets/packet_agent_inquiries.cpp
+++ b/modules/carawayshelf_packets/packet_agent_inquiries.cpp
@@ -1,9 +1,12 @@
 #include "carawayshelf_packets/packet_agent.hpp"
 
+#include <algorithm>
+
 namespace carawayshelf
 {
 
-/** Sends an inquiry to all members at once, after all candidates have returned a packet. */
+/** Sends an inquiry to all members at once, after all candidates have returned a packet or could
+   not admit an opening packet. */
 void packet_agent::start_inquiry(time_point now, const packet_envelope& envelope,
                                  const packet_route& route, const client_packet& packet)
 {
@@ -24,7 +27,12 @@
     inquiry_envelope.flow = packet.flow();
     inquiry_envelope.add_candidate(options_.data);
     const std::vector<endpoint> members =
-        inquiries_.start(now, *table_, route, options_.data, inquiry_envelope, packet.bytes());
+        inquiries_.start(now, *table_, route, options_.data, inquiry_envelope, packet.bytes(),
+                         packet.header.is_opening);
+    if (packet.header.is_opening)
+    {
+        refusal_messages_left_ -= std::min(refusal_messages_left_, members.size());
+    }
     send_inquiry(inquiry_envelope, members, packet.bytes());
     if (members.empty())
     {
@@ -68,7 +76,8 @@
         packet_header header;
         if (format_.decode(ended.packet, header) && !header.is_reset)
         {
-            reset_flow(packet_reset::nowhere, ended.envelope, header);
+            reset_flow(ended.is_refusal ? packet_reset::refused : packet_reset::nowhere,
+                       ended.envelope, header);
         }
     }
 }
@@ -80,7 +89,8 @@
         packet_header header;
         if (format_.decode(ended.packet, header))
         {
-            drop_packet(packet_drop::lost_flow, ended.envelope, header);
+            drop_packet(ended.is_refusal ? packet_drop::too_late : packet_drop::lost_flow,
+                        ended.envelope, header);
         }
     }
 }
@@ -93,16 +103,44 @@
         return;
     }
     if (answer.candidate_count == 1 &&
-        inquiries_.handle_absent(answer.flow, answer.candidates[0], answer.table_generation))
+        inquiries_.handle_absent(answer.flow, answer.candidates[0], answer.table_generation,
+                                 (answer.flags & absent_flag_refuses) != 0))
     {
         conclude_inquiries(now);
     }
 }
 
+/** Answers an inquiry that carries an opening packet. Without an answer, the flow is not refused.
+ */
+void packet_agent::handle_refusal_inquiry(time_point now, const packet_envelope& envelope,
+                                          const client_packet& packet)
+{
+    if (envelope.candidate_count == 0)
+    {
+        counters_.drops.add(packet_drop::malformed);
+        return;
+    }
+    const packet_flow key = packet.flow();
+    const endpoint inquiring_agent = envelope.candidates[0];
+    if (flows_.count(key) != 0 || opening_queue_.contains(key))
+    {
+        notify_balancer(now, packet_envelope_kind::holder, key, envelope.balancer);
+        answer_inquiry(now, packet_envelope_kind::holder, key, inquiring_agent);
+        return;
+    }
+    if (knows_all_flows(now))
+    {
+        refused_flows_.add(now, key);
+        answer_inquiry(now, packet_envelope_kind::absent, key, inquiring_agent,
+                       absent_flag_refuses);
+    }
+}
+
 void packet_agent::answer_inquiry(time_point now, packet_envelope_kind kind, const packet_flow& key,
-                                  const endpoint& inquiring_agent)
+                                  const endpoint& inquiring_agent, std::uint8_t flags)
 {
     packet_envelope answer = describe_load(now, kind);
+    answer.flags = static_cast<std::uint8_t>(answer.flags | flags);
     answer.flow = key;
     answer.add_candidate(options_.data);
     port_.send_envelope(inquiring_agent, answer, {});
--- a/modules/carawayshelf_packets/returned_flows.hpp
+++ b/modules/carawayshelf_packets/recent_flows.hpp
@@ -11,22 +11,23 @@
 namespace carawayshelf
 {
 
-/** Flows of which the backend server has returned a packet, so that it doesn't hold them. Such a
-   flow can't come to the server later, except by an opening packet. Not thread-safe. */
-class returned_flows
+/** Flows that were added within a fixed time. Not thread-safe. */
+class recent_flows
 {
 public:
     /** Maximum number of flows; the oldest are forgotten first. */
     static constexpr std::size_t capacity = 8192;
 
-    /** Flows are forgotten after this: longer than clients go on to retransmit a packet. */
-    static constexpr duration lifetime = std::chrono::seconds(10);
+    /** @param lifetime  flows are forgotten after this */
+    explicit recent_flows(duration lifetime) : lifetime_(lifetime)
+    {
+    }
 
     void add(time_point now, const packet_flow& flow)
     {
-        returned_at_[flow] = now;
+        added_at_[flow] = now;
         oldest_first_.emplace_back(now, flow);
-        while (oldest_first_.size() > capacity || now - oldest_first_.front().first >= lifetime)
+        while (oldest_first_.size() > capacity || now - oldest_first_.front().first >= lifetime_)
         {
             forget_oldest();
         }
@@ -34,29 +35,29 @@
 
     bool contains(time_point now, const packet_flow& flow) const
     {
-        const auto found = returned_at_.find(flow);
-        return found != returned_at_.end() && now - found->second < lifetime;
+        const auto found = added_at_.find(flow);
+        return found != added_at_.end() && now - found->second < lifetime_;
     }
 
-    /** The backend server may get the flow: an opening packet of it was admitted. */
     void remove(const packet_flow& flow)
     {
-        returned_at_.erase(flow);
+        added_at_.erase(flow);
     }
 
 private:
     void forget_oldest()
     {
-        const auto& [added_at, flow] = oldest_first_.front();
-        const auto found = returned_at_.find(flow);
-        if (found != returned_at_.end() && found->second == added_at)
+        const auto& [at, flow] = oldest_first_.front();
+        const auto found = added_at_.find(flow);
+        if (found != added_at_.end() && found->second == at)
         {
-            returned_at_.erase(found);
+            added_at_.erase(found);
         }
         oldest_first_.pop_front();
     }
 
-    std::unordered_map<packet_flow, time_point, packet_flow_hasher> returned_at_;
+    duration lifetime_;
+    std::unordered_map<packet_flow, time_point, packet_flow_hasher> added_at_;
     std::deque<std::pair<time_point, packet_flow>> oldest_first_;
 };
 
--- a/modules/carawayshelf_wire/packet_envelope.hpp
+++ b/modules/carawayshelf_wire/packet_envelope.hpp
@@ -35,6 +35,10 @@
 constexpr std::uint8_t load_flag_cold = 2;    ///< Accepts few new flows.
 constexpr std::uint8_t load_flag_failing = 4; ///< Its backend server seems to fail requests.
 
+/** Bit of packet_envelope::flags in the answer absent to an inquiry that carries an opening packet:
+    the sender admits no copy of it from now on. */
+constexpr std::uint8_t absent_flag_refuses = 0x80;
+
 /** Bits of packet_envelope::flags with an opening packet. The mask selects the position, counted
     from 1, of the least loaded candidate that could queue the packet; 0 while there is none. */
 constexpr std::uint8_t opening_least_loaded_mask = 0x3F;
--- a/tests/process/flows.sh
+++ b/tests/process/flows.sh
@@ -48,6 +48,9 @@
 # restarted and some opening packets arrive late.
 start_run refused_openings --scenario=balancer-roll --balancers=6 --flows=700 --flow_seconds=3 \
     --pause_seconds=0.8 --late_copies=0.03
+# Servers that return opening packets, some of which the network delays, while balancers are restarted.
+start_run late_openings --scenario=balancer-roll --balancers=6 --flows=220 --flow_seconds=3 \
+    --pause_seconds=0.8 --max_flows=20 --late_copies=0.1 --late_packets=0.1
 # An agent is frozen, and another is down for 6 s, beside live servers, while balancers are restarted.
 start_run unreachable_agents --scenario=agent-freeze,agent-down,balancer-roll --seed=3
 # Servers that leave live on for a while after they have announced their departure, with idle flows.
