A returned copy of an opening packet doesn't end an accepted flow

Cause: an agent forgot a flow when its server returned any packet of it, also a late copy of the opening packet of a flow that the server had accepted. An agent that knows all flows would then keep the flow's packets from its server, and the search would reset the flow.

Change: of a flow for which the server has sent a packet, a returned opening packet is dropped.

Test: packet_agent_decisions/a_returned_copy_of_an_opening_packet_leaves_the_accepted_flow fails before.

--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -152,6 +152,7 @@
         flow_state state = flow_state::searching;
         bool is_busy = false;            ///< Counted as a request in flight.
         bool is_admitted = false;        ///< Admitted by this agent.
+        bool is_accepted = false;        ///< Its backend server has sent a packet of it.
         bool must_report_holder = false; ///< The balancer may not know that the flow is here.
         endpoint inquiring_agent;        ///< The agent that sent an inquiry for it, or none.
         bool found_free_slot = false;    ///< For its request, so the service time can be measured.
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -156,6 +156,7 @@
     {
         item.state = flow_state::open;
     }
+    item.is_accepted = true;
     item.last_used = now;
     item.server_finished = item.server_finished || header.is_finish || header.is_reset;
     const bool ends_answer = header.data_bytes != 0 && header.data_bytes < full_packet_bytes;
@@ -178,6 +179,11 @@
 {
     const packet_envelope* envelope = delivered_envelopes_.find(packet.header.mark);
     const auto known = flows_.find(packet.flow());
+    if (packet.header.is_opening && known != flows_.end() && known->second.is_accepted)
+    {
+        drop_packet(packet_drop::too_late, packet_envelope{}, packet.header);
+        return; // A copy; the server still holds the flow that it accepted.
+    }
     if (known != flows_.end())
     {
         erase_flow(now, known);
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -343,6 +343,25 @@
     BOOST_TEST(fixture.to_server.empty());
 }
 
+/** Otherwise the agent answers that it doesn't hold the flow, and it is reset. */
+BOOST_AUTO_TEST_CASE(a_returned_copy_of_an_opening_packet_leaves_the_accepted_flow)
+{
+    agent_fixture fixture;
+    fixture.start();
+    fixture.core->note_first_incarnation();
+    fixture.open(2000);
+    fixture.answer_opening(2000);
+    fixture.open(2000);
+    fixture.envelopes.clear();
+    fixture.return_last();
+    BOOST_TEST(fixture.envelopes.empty());
+    fixture.send(fixture.packet_of(2000, false), {own_data});
+    BOOST_TEST(fixture.to_server.size() == 3U);
+    fixture.return_last(); // The server doesn't hold the flow any more.
+    fixture.send(fixture.packet_of(2000, false), {own_data});
+    BOOST_TEST(fixture.to_server.size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(a_departing_server_keeps_its_flows_until_it_has_ended)
 {
     agent_fixture fixture;
