--- a/modules/carawayshelf_packets/carawayshelf_packets.hpp
+++ b/modules/carawayshelf_packets/carawayshelf_packets.hpp
@@ -6,8 +6,8 @@
     agent, and keeps the agent's membership in control up to date. Only the backend server knows
     which flows it holds: it returns packets of other flows. A returned packet is forwarded to the
     candidates in its envelope one after the other, and then sent to all members of the route at
-    once. A flow is reset only when all of them have returned the packet, except members that are
-    silent and don't answer.
+    once. A flow is reset only when each of them has answered that it doesn't hold the flow, and an
+    opening packet is refused only when each of them has agreed to admit no copy of it.
     Balancers and agents only cache where flows are. Balancers learn the agents' loads from the
     answers to new flows and probes, so no traffic grows with the number of balancers times the
     number of agents.
