Count a table's age from the question, not from the arrival of the answer

Cause: a table counted as confirmed for 400 ms from the time at which a daemon read control's confirmation. In a daemon that was frozen, or got no processor time, confirmations wait in the socket, so that an old table counted as fresh and flows could be reset by it.

Change: a heartbeat carries the time at which it is sent, control returns it in the answer, and the table is fresh for 400 ms from then on. Control of an earlier build answers the time, too; the second answer that it sends, without a time, only shows contact.

Tests: packet_agent_decisions/a_confirmation_that_has_waited_does_not_make_the_table_fresh fails before; control_servers/a_report_is_answered_once_with_the_number_of_its_probe.

--- a/modules/carawayshelf_io/control_client.cpp
+++ b/modules/carawayshelf_io/control_client.cpp
@@ -149,9 +149,18 @@
     sent.subscription->lease = pack_report(report_());
     sent.subscription->lease->held = held_generation_;
     sent.subscription->service = service_;
+    add_probe(sent);
     connection_->send(sent);
 }
 
+/** The probe's number is the time at which it is sent: the answer may wait in a socket, and then
+    tells nothing about the time since. */
+void control_client::add_probe(frame& sent)
+{
+    sent.probe = std::make_unique<buffers::link_probe_object>();
+    sent.probe->number = static_cast<std::uint64_t>(steady_now().time_since_epoch().count());
+}
+
 void control_client::handle_disconnect()
 {
     connection_ = nullptr;
@@ -174,9 +183,9 @@
         last_confirmed_at_ = steady_now();
         is_confirmed_ = true;
         confirmation_timeout_.note_confirmed();
-        if (on_confirmed_)
+        if (on_confirmed_ && received.probe->number != 0)
         {
-            on_confirmed_();
+            on_confirmed_(time_point(duration(static_cast<std::int64_t>(received.probe->number))));
         }
     }
     if (received.update)
@@ -205,7 +214,7 @@
     }
 }
 
-void control_client::set_confirmation_handler(std::function<void()> on_confirmed)
+void control_client::set_confirmation_handler(confirmation_handler on_confirmed)
 {
     on_confirmed_ = std::move(on_confirmed);
 }
@@ -238,6 +247,7 @@
     {
         frame sent;
         sent.lease = pack_report(report_());
+        add_probe(sent);
         connection_->send(sent);
     }
 }
--- a/modules/carawayshelf_io/control_client.hpp
+++ b/modules/carawayshelf_io/control_client.hpp
@@ -28,6 +28,9 @@
     using result_handler = std::function<void(error_kind, const change_result&)>;
     using report_source = std::function<daemon_report()>;
 
+    /** @param asked_at  when the heartbeat was sent that control answered */
+    using confirmation_handler = std::function<void(time_point asked_at)>;
+
     /** @param instances  the configured control instances; at least one
         @param report     called for each heartbeat; returns the report to send
         @param on_update  called with each update, in the order in which they arrive */
@@ -38,7 +41,7 @@
 
     /** Sets a handler that is called each time the control instance confirms that it has contact
         with a leader, after all updates that it sent before. */
-    void set_confirmation_handler(std::function<void()> on_confirmed);
+    void set_confirmation_handler(confirmation_handler on_confirmed);
 
     /** Sets the service that an agent needs updates for, and subscribes again if connected. */
     void set_service(const std::string& service);
@@ -70,6 +73,7 @@
     void handle_frame(frame& received);
     void handle_disconnect();
     void close_if_timed_out();
+    static void add_probe(frame& sent);
     void start_confirmation_timer();
     void leave_if_unconfirmed();
     void update_instances(const std::vector<std::uint64_t>& instances);
@@ -80,7 +84,7 @@
     std::shared_ptr<boost::asio::ip::tcp::socket> connecting_; ///< The current connection attempt.
     time_point last_frame_at_;                                 ///< Last frame on this connection.
     time_point last_confirmed_at_; ///< Last confirmation of leader contact.
-    std::function<void()> on_confirmed_;
+    confirmation_handler on_confirmed_;
     report_source report_;
     update_handler on_update_;
     std::string service_;
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -272,9 +272,12 @@
         refuse_without_storage(connection, received);
         return;
     }
-    if (received.probe && !received.probe->is_reply)
+    const bool is_report = received.lease || received.subscription;
+    const bool is_probe = received.probe && !received.probe->is_reply;
+    const std::uint64_t probe_number = is_probe ? received.probe->number : 0;
+    if (is_probe && !is_report)
     {
-        answer_probe(connection, received.probe->number);
+        answer_probe(connection, probe_number);
     }
     if (received.consensus)
     {
@@ -293,12 +296,12 @@
     if (received.subscription && received.subscription->lease)
     {
         handle_subscription(connection, *received.subscription);
-        answer_probe(connection, 0); // Tells the daemon whether this instance is confirmed.
+        answer_probe(connection, probe_number); // Tells whether this instance is confirmed.
     }
     if (received.lease)
     {
         handle_report(connection, *received.lease);
-        answer_probe(connection, 0);
+        answer_probe(connection, probe_number);
     }
     handle_restart_states(connection, received);
     if (received.client_request)
--- a/modules/carawayshelf_io/packet_agent_daemon.cpp
+++ b/modules/carawayshelf_io/packet_agent_daemon.cpp
@@ -71,9 +71,10 @@
             }
         }
         client_.set_confirmation_handler(
-            [this] {
-                worker_.post([](time_point instant, packet_agent& core)
-                             { core.confirm_table(instant); });
+            [this](time_point asked_at)
+            {
+                worker_.post([asked_at](time_point instant, packet_agent& core)
+                             { core.confirm_table(instant, asked_at); });
             });
         client_.set_service(every_service);
         client_.start();
--- a/modules/carawayshelf_io/packet_balancer_daemon.cpp
+++ b/modules/carawayshelf_io/packet_balancer_daemon.cpp
@@ -80,10 +80,11 @@
         wakeup_.signal();
     }
 
-    /** Records that control has confirmed the current table. Thread-safe. */
-    void confirm_table()
+    /** Records that control has confirmed the current table. Thread-safe.
+        @param asked_at  when control was asked */
+    void confirm_table(time_point asked_at)
     {
-        confirmed_us_ = steady_now().time_since_epoch().count();
+        confirmed_us_ = asked_at.time_since_epoch().count();
     }
 
 private:
@@ -204,7 +205,8 @@
         {
             return failed;
         }
-        client_.set_confirmation_handler([this] { worker_.confirm_table(); });
+        client_.set_confirmation_handler([this](time_point asked_at)
+                                         { worker_.confirm_table(asked_at); });
         client_.start();
         log_info("packet balancer started; packets at " + to_string(settings_.entry) +
                  ", envelopes at " + to_string(settings_.data_address));
--- a/modules/carawayshelf_lab/lab_nodes.hpp
+++ b/modules/carawayshelf_lab/lab_nodes.hpp
@@ -68,7 +68,7 @@
 
     void confirm(time_point now) override
     {
-        core->confirm_table(now);
+        core->confirm_table(now, now);
     }
 
     std::string name;
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -54,9 +54,9 @@
     conclude_inquiries(now);
 }
 
-void packet_agent::confirm_table(time_point now)
+void packet_agent::confirm_table(time_point now, time_point asked_at)
 {
-    confirmed_at_ = now;
+    confirmed_at_ = asked_at;
     conclude_inquiries(now);
 }
 
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -53,8 +53,8 @@
         inquiry to every member that can hold the flow. */
     static constexpr duration settle_time = std::chrono::milliseconds(800);
 
-    /** A table is fresh for this long after control has confirmed it: a heartbeat interval of
-        250 ms plus possible delays. Flows are reset only by a fresh table. */
+    /** A table is fresh for this long after control was asked and has confirmed it: a heartbeat
+        interval of 250 ms plus possible delays. Flows are reset only by a fresh table. */
     static constexpr duration max_confirmation_age = std::chrono::milliseconds(400);
 
     /** Longer than clients go on to retransmit a packet. */
@@ -78,8 +78,9 @@
     /** Sets a new table. Whether it is fresh depends on the latest call of confirm_table() only. */
     void set_table(time_point now, std::shared_ptr<const packet_table> table);
 
-    /** Records that control has confirmed at this time that the table is the newest. */
-    void confirm_table(time_point now);
+    /** Records that control has confirmed that the table is the newest.
+        @param asked_at  when control was asked; the confirmation may have waited since */
+    void confirm_table(time_point now, time_point asked_at);
 
     /** Flows that an earlier incarnation of the agent admitted have ended after this: longer than
         the users' flows, which last 60 s at most. */
--- a/tests/fakes/packet_simulation.cpp
+++ b/tests/fakes/packet_simulation.cpp
@@ -349,7 +349,7 @@
         if (now_ >= node->isolated_until)
         {
             publish_to(*node);
-            node->core->confirm_table(now_);
+            node->core->confirm_table(now_, now_);
         }
     }
     schedule(confirm_interval, [this] { confirm_all(); });
--- a/tests/unit/control_server_test.cpp
+++ b/tests/unit/control_server_test.cpp
@@ -294,7 +294,15 @@
                                                                     complete_tables_ +=
                                                                         update.complete ? 1 : 0;
                                                                 }));
-            clients_.back()->set_confirmation_handler([this, i] { confirmed_.insert(i); });
+            clients_.back()->set_confirmation_handler(
+                [this, i](time_point asked_at)
+                {
+                    const duration age = steady_now() - asked_at;
+                    if (age >= duration(0) && age < std::chrono::minutes(1))
+                    {
+                        confirmed_.insert(i);
+                    }
+                });
         }
     }
 
@@ -402,6 +410,42 @@
     }
 }
 
+/** Daemons send the time as the number, so that an answer that has waited tells its age. */
+BOOST_AUTO_TEST_CASE(a_report_is_answered_once_with_the_number_of_its_probe)
+{
+    cluster test_cluster(1);
+    BOOST_TEST(test_cluster.replace_until_accepted(0, 1, "one"));
+    std::vector<std::uint64_t> numbers;
+    const std::shared_ptr<frame_connection> daemon = test_cluster.connect(
+        0,
+        [&numbers](frame& received)
+        {
+            if (received.probe)
+            {
+                numbers.push_back(received.probe->number);
+            }
+        },
+        [](const failure& /*why*/) {});
+    daemon_report report;
+    report.name = "balancer-1";
+    frame subscription;
+    subscription.subscription = std::make_unique<buffers::subscribe_object>();
+    subscription.subscription->lease = pack_report(report);
+    subscription.subscription->service = every_service;
+    frame lease;
+    lease.lease = pack_report(report);
+    std::uint64_t number = 6;
+    for (frame* sent : {&subscription, &lease})
+    {
+        sent->probe = std::make_unique<buffers::link_probe_object>();
+        sent->probe->number = ++number;
+        daemon->send(*sent);
+    }
+    test_cluster.io.restart();
+    test_cluster.io.run_for(std::chrono::milliseconds(200));
+    BOOST_TEST((numbers == std::vector<std::uint64_t>{7, 8}));
+}
+
 /** A daemon that subscribed at an instance with a full disk was counted as connected once the disk
     had space again, and kept its old table for good. */
 BOOST_AUTO_TEST_CASE(a_daemon_that_subscribes_while_the_disk_is_full_does_not_miss_later_updates)
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -99,7 +99,7 @@
         table.apply(state.collect_update(table.held(), ""));
         traffic_table = std::make_shared<const packet_table>(table, *traffic_table);
         core->set_table(now, traffic_table);
-        core->confirm_table(now);
+        core->confirm_table(now, now);
     }
 
     /** An announcement of the agent's own backend server. */
@@ -549,6 +549,22 @@
     BOOST_TEST(fixture.was_reset());
 }
 
+/** A process that was frozen reads confirmations that have waited in its socket. */
+BOOST_AUTO_TEST_CASE(a_confirmation_that_has_waited_does_not_make_the_table_fresh)
+{
+    agent_fixture fixture;
+    fixture.start();
+    fixture.core->note_first_incarnation();
+    const time_point asked_at = fixture.now;
+    fixture.now += packet_agent::max_confirmation_age;
+    fixture.core->confirm_table(fixture.now, asked_at);
+    fixture.send(fixture.packet_of(2000, false), {own_data});
+    fixture.answer_absent(2000, other_data);
+    BOOST_TEST(!fixture.was_reset());
+    fixture.core->confirm_table(fixture.now, fixture.now);
+    BOOST_TEST(fixture.was_reset());
+}
+
 BOOST_AUTO_TEST_CASE(an_agent_answers_an_inquiry_for_its_server)
 {
     agent_fixture fixture;
@@ -741,7 +757,7 @@
     fixture.return_last();
     fixture.answer_absent(2000, other_data);
     BOOST_TEST(!fixture.was_reset());
-    fixture.core->confirm_table(fixture.now);
+    fixture.core->confirm_table(fixture.now, fixture.now);
     BOOST_TEST(fixture.was_reset());
     // It is not reset either if a process that handled the packet had a newer table.
     fixture.to_client.clear();
@@ -1017,7 +1033,7 @@
     fixture.open(2000);
     BOOST_TEST(fixture.to_server.empty());
     fixture.now += packet_agent::refused_flow_lifetime;
-    fixture.core->confirm_table(fixture.now);
+    fixture.core->confirm_table(fixture.now, fixture.now);
     fixture.announce();
     fixture.open(2000);
     BOOST_TEST(fixture.to_server.size() == 1U);
