--- a/modules/carawayshelf_io/departure_monitor.cpp
+++ b/modules/carawayshelf_io/departure_monitor.cpp
@@ -25,7 +25,16 @@
 {
     on_end_ = nullptr;
     timer_.cancel();
-    socket_ = nullptr;
+    close_socket();
+}
+
+void departure_monitor::close_socket()
+{
+    if (socket_)
+    {
+        boost::system::error_code ignored; // Nothing was sent that could be lost.
+        std::exchange(socket_, nullptr)->close(ignored);
+    }
 }
 
 void departure_monitor::schedule_check()
@@ -43,19 +52,28 @@
 
 void departure_monitor::check()
 {
+    if (!on_end_)
+    {
+        return; // Stopped after the timer had expired.
+    }
     if (steady_now() - started_at_ >= timeout)
     {
         end();
         return;
     }
+    close_socket();
     const std::shared_ptr<boost::asio::ip::tcp::socket> socket =
         std::make_shared<boost::asio::ip::tcp::socket>(io_);
-    socket_ = socket; // Closes the socket of a check that has not ended.
+    socket_ = socket;
     socket->async_connect(to_asio(server_),
                           [this, socket](const boost::system::error_code& error)
                           {
-                              if (socket_ == socket &&
-                                  error == boost::asio::error::connection_refused)
+                              if (socket_ != socket)
+                              {
+                                  return; // Stopped, or the next check has started.
+                              }
+                              close_socket();
+                              if (error == boost::asio::error::connection_refused)
                               {
                                   end();
                               }
--- a/modules/carawayshelf_io/departure_monitor.hpp
+++ b/modules/carawayshelf_io/departure_monitor.hpp
@@ -39,12 +39,13 @@
 private:
     void schedule_check();
     void check();
+    void close_socket();
     void end();
 
     boost::asio::io_context& io_;
     endpoint server_;
     boost::asio::steady_timer timer_;
-    std::shared_ptr<boost::asio::ip::tcp::socket> socket_; ///< Of the latest check, or null.
+    std::shared_ptr<boost::asio::ip::tcp::socket> socket_; ///< Of the current check, or null.
     end_handler on_end_;
     time_point started_at_;
 };
--- a/modules/carawayshelf_packets/flow_inquiries.hpp
+++ b/modules/carawayshelf_packets/flow_inquiries.hpp
@@ -14,9 +14,10 @@
 namespace carawayshelf
 {
 
-/** Inquiries of an agent to all members of a route's services at once. They search for a flow,
-   after the likely members have returned a packet of it, or prepare the refusal of a flow that no
-   member could admit: another copy of its opening packet may have opened it, or may do so later.
+/** Inquiries of an agent to all members of a route's services at once. They search for a flow
+    after the likely members have returned a packet of it. They also prepare the refusal of a flow
+    that no member could admit: another copy of its opening packet may have opened it, or may do so
+    later.
     Each member answers whether it holds the flow. No member holds it if all answer that they don't,
     and neither they nor the processes that handled the packet before had a newer table than the one
     used to choose the members. This takes one round trip, however many members there are.
--- a/modules/carawayshelf_packets/opening_timing.hpp
+++ b/modules/carawayshelf_packets/opening_timing.hpp
@@ -19,8 +19,8 @@
 inline constexpr duration attempt_timeout = std::chrono::milliseconds(1400);
 
 /** A flow without a route is reset because of its opening packet only if that has waited for less
-    than this: the reset must arrive before the client retransmits, since a retransmission may open
-   the flow. The rest of first_retransmission_after is left to the network. */
+    than this: the reset must arrive before the client retransmits, since a retransmission may
+    open the flow. The rest of first_retransmission_after is left to the network. */
 inline constexpr duration max_wait_before_refusal = std::chrono::milliseconds(100);
 
 /** Whether another copy of an opening packet may have opened its flow. That copy and its answer may
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -452,7 +452,7 @@
                           const packet_route& route, const client_packet& packet)
 {
     notify_balancer(now, packet_envelope_kind::load, {}, envelope.balancer);
-    if (!can_ask_about_refusal(now, route))
+    if (!can_ask_about_refusal(now, route) || inquiries_.contains(packet.flow()))
     {
         drop_packet(packet_drop::too_late, envelope, packet.header);
         return;
@@ -470,7 +470,8 @@
         return std::any_of(members.begin(), members.end(),
                            [](const packet_member& member) { return member.is_silent; });
     };
-    return refusal_messages_left_ != 0 && knows_all_flows(now) && is_table_fresh(now) &&
+    return refusal_messages_left_ != 0 && !inquiries_.is_full() && knows_all_flows(now) &&
+           is_table_fresh(now) &&
            std::none_of(route.services.begin(), route.services.end(), has_silent_member);
 }
 
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -66,7 +66,7 @@
         flow_inquiries::timeout + opening_timing::attempt_timeout;
 
     /** Maximum number of inquiry packets between two calls of tick() that ask members about flows
-       to refuse. Beyond it, opening packets that can't be admitted are dropped. */
+        to refuse. Beyond it, opening packets that can't be admitted are dropped. */
     static constexpr std::size_t max_refusal_messages_per_tick = 256;
 
     /** Interval of tick(). */
--- a/modules/carawayshelf_packets/packet_agent_inquiries.cpp
+++ b/modules/carawayshelf_packets/packet_agent_inquiries.cpp
@@ -5,8 +5,8 @@
 namespace carawayshelf
 {
 
-/** Sends an inquiry to all members at once, after all candidates have returned a packet or could
-   not admit an opening packet. */
+/** Sends an inquiry to all members at once: all candidates have returned the packet, or none could
+    admit the opening packet. */
 void packet_agent::start_inquiry(time_point now, const packet_envelope& envelope,
                                  const packet_route& route, const client_packet& packet)
 {
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -1079,8 +1079,8 @@
     BOOST_TEST(fixture.counters.drops.get(packet_drop::too_late) == 1U);
 }
 
-/** A queued opening packet that no member can admit any more is reset only if no copy of it can
-   open its flow. */
+/** Otherwise an open flow is reset: a copy of its opening packet may have been admitted elsewhere.
+ */
 BOOST_AUTO_TEST_CASE(a_queued_opening_packet_is_refused_only_if_all_members_agree)
 {
     for (const bool agrees : {false, true})
