--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -348,11 +348,19 @@
         daemons_.start_balancer(at);
         break;
     default:
-        daemons_.start_agent(at);
+        daemons_.start_agent(with_current_service(at));
         break;
     }
 }
 
+/** The address may have gone to another service since the scenario chose the machine. */
+machine deployment::with_current_service(const machine& at) const
+{
+    const auto current = std::find_if(agents_.begin(), agents_.end(),
+                                      [&at](const machine& item) { return item.name == at.name; });
+    return current == agents_.end() ? at : *current;
+}
+
 void deployment::restart(time_point at, const machine& which, int signal_number, duration delay)
 {
     schedule(at,
@@ -529,20 +537,15 @@
     {
         const std::lock_guard<std::mutex> guard(traffic_lock_);
         lost->end();
+        servers_.erase(std::find_if(servers_.begin(), servers_.end(),
+                                    [lost](const std::unique_ptr<backend_server>& item)
+                                    { return item.get() == lost; }));
     }
     reused.service = options_.services.back().name;
     signal(reused.name, SIGTERM, "stop");
     when_ended(reused.name, address_reuse_time,
                [this, reused]
                {
-                   {
-                       const std::lock_guard<std::mutex> guard(traffic_lock_);
-                       for (auto item = servers_.begin(); item != servers_.end();)
-                       {
-                           item = (*item)->at().name == reused.name ? servers_.erase(item)
-                                                                    : std::next(item);
-                       }
-                   }
                    add_server(reused);
                    agents_.push_back(reused);
                });
--- a/tests/process/deployment.hpp
+++ b/tests/process/deployment.hpp
@@ -143,6 +143,7 @@
     void signal(const std::string& name, int signal_number, const std::string& what);
     void when_ended(const std::string& name, duration delay, const std::function<void()>& next);
     void start_again(const machine& at);
+    machine with_current_service(const machine& at) const;
     void run_traffic();
     void log_event(const std::string& what) const;
 
