--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -280,7 +280,7 @@
     early_packets early_packets_;
     flow_map flows_;
     /** Flows of which the backend server has returned a packet, so that it doesn't hold them. Such
-       a flow can't come to it later, except by an opening packet. */
+        a flow can't come to it later, except by an opening packet. */
     recent_flows returned_flows_{returned_flow_lifetime};
     recent_flows refused_flows_{refused_flow_lifetime}; ///< Their opening packets are dropped.
     std::size_t refusal_messages_left_ = max_refusal_messages_per_tick;
--- a/modules/carawayshelf_packets/packet_agent_inquiries.cpp
+++ b/modules/carawayshelf_packets/packet_agent_inquiries.cpp
@@ -110,8 +110,7 @@
     }
 }
 
-/** Answers an inquiry that carries an opening packet. Without an answer, the flow is not refused.
- */
+/** Answers an inquiry that carries an opening packet. Without an answer, nothing is refused. */
 void packet_agent::handle_refusal_inquiry(time_point now, const packet_envelope& envelope,
                                           const client_packet& packet)
 {
--- a/modules/carawayshelf_packets/server_membership.hpp
+++ b/modules/carawayshelf_packets/server_membership.hpp
@@ -31,8 +31,7 @@
     /** Schedules a call of server_membership::retry() after a delay. */
     virtual void schedule_retry() = 0;
 
-    /** Calls server_membership::handle_server_end() once the backend server, which has announced
-       its departure, has ended. */
+    /** Calls server_membership::handle_server_end() once the departing backend server has ended. */
     virtual void watch_departing_server() = 0;
 
     /** The departed backend server has ended, or another one has taken its place: its flows are
@@ -80,7 +79,7 @@
     void handle_repeated_announcement(const std::string& id, const acknowledgement_handler& done);
 
     /** Handles the announcement of the backend server that it is about to end: the member accepts
-       no new flows from now on. Ignored if another server has taken its place. */
+        no new flows from now on. Ignored if another server has taken its place. */
     void handle_departure(const std::string& id);
 
     /** Handles the end of a backend server that has announced its departure: retires the member.
