--- a/tests/unit/connection_test.cpp
+++ b/tests/unit/connection_test.cpp
@@ -115,6 +115,21 @@
     BOOST_TEST(ends == 1);
 }
 
+/** Otherwise it calls a handler that is gone. */
+BOOST_AUTO_TEST_CASE(a_departure_monitor_that_is_stopped_after_its_timer_has_expired_checks_nothing)
+{
+    boost::asio::io_context io;
+    departure_monitor monitor(io, {0x7F000B05, 7605}); // Nothing listens there.
+    int ends = 0;
+    // The timer, which expires first, is run after this one.
+    boost::asio::steady_timer stopper(io, std::chrono::steady_clock::now());
+    monitor.start([&ends] { ++ends; });
+    stopper.async_wait([&monitor](const boost::system::error_code& /*error*/) { monitor.stop(); });
+    std::this_thread::sleep_for(departure_monitor::check_interval * 2);
+    BOOST_CHECK_NO_THROW(io.run_for(departure_monitor::check_interval * 2));
+    BOOST_TEST(ends == 0);
+}
+
 BOOST_AUTO_TEST_CASE(the_time_that_datagrams_wait_in_a_socket_is_measured)
 {
     const endpoint address{0x7F000B03, 7603};
