An order is not carried out after its caller has given up

Cause: an operator moves on to another control instance after a while without a response. The first one, frozen for 6 s, carried out the order when it continued: http_session passes on a request however long it has waited, and set_domain_state is applied whatever came before it. The same holds for an order that is held up between a follower and the leader, for the orders of the command line (their condition on the version misses an order that found the state already set), and for announcements of agents, of which a delayed one added a departed member or retired the one that had its address.

Change: an instance states with such a request a position that the leader's log had reached while the caller was still waiting. The leader rejects it if it has proposed something about the same failure domain or data address since, or leads another term; the instance then submits it again, while its caller waits. Whatever is accepted after the caller gave up has a higher index, so a late order can't undo it. The caller counts as waiting while it has not closed the connection and no pause of the process or the machine (CLOCK_BOOTTIME) may have hidden that. An order given up is answered with 503. The replicated state and its records are unchanged, so that builds can be mixed: a leader rejects orders that an earlier build forwards, and an order is not forwarded to a leader of an earlier build.

--- a/modules/carawayshelf_consensus/carawayshelf_consensus.hpp
+++ b/modules/carawayshelf_consensus/carawayshelf_consensus.hpp
@@ -17,4 +17,5 @@
 #include "carawayshelf_consensus/log_store.hpp"
 #include "carawayshelf_consensus/membership_manager.hpp"
 #include "carawayshelf_consensus/message.hpp"
+#include "carawayshelf_consensus/order_fence.hpp"
 #include "carawayshelf_consensus/replicated_log.hpp"
--- a/modules/carawayshelf_core/error.cpp
+++ b/modules/carawayshelf_core/error.cpp
@@ -54,6 +54,9 @@
                "says under 'Replace a control instance'";
     case error_kind::usage:
         return "the command line is wrong: see --help";
+    case error_kind::outdated_order:
+        return "nothing was changed, since the request may have been delayed or another one came "
+               "first: check the current state, then repeat it";
     }
     return "unknown error: report it as a defect";
 }
--- a/modules/carawayshelf_core/error.hpp
+++ b/modules/carawayshelf_core/error.hpp
@@ -25,7 +25,8 @@
     malformed_message,
     storage_failed,
     storage_corrupt,
-    usage
+    usage,
+    outdated_order
 };
 
 /** Returns the error category of error_kind. Thread-safe. */
--- a/modules/carawayshelf_io/control_daemon.cpp
+++ b/modules/carawayshelf_io/control_daemon.cpp
@@ -86,6 +86,7 @@
     http_server operator_server(
         io, [&server, &platform](const http_request& request, const http_responder& respond)
         { platform.handle_operator_request(server, request, respond); });
+    operator_server.reject_abandoned_requests(server.pauses());
     graceful_stop stop(io, server, operator_server);
     daemon_signals signals(io, [&stop] { stop.begin(); });
     metrics_page metrics(io);
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -209,7 +209,7 @@
 
 void control_server::start_connection(const connection_pointer& connection)
 {
-    connections_[connection.get()] = {connection, steady_now()};
+    connections_[connection.get()] = {connection, steady_now(), pauses_.note()};
     const std::weak_ptr<frame_connection> weak = connection;
     connection->start(lifetime_.guard(
                           [this, weak](frame& received)
@@ -306,13 +306,7 @@
     handle_restart_states(connection, received);
     if (received.client_request)
     {
-        handle_request(*received.client_request,
-                       [connection](reply_pointer reply)
-                       {
-                           frame answer;
-                           answer.client_reply = std::move(reply);
-                           connection->send(answer);
-                       });
+        handle_client_request(connection, *received.client_request);
     }
     if (received.forwarded_request)
     {
@@ -438,6 +432,7 @@
     hello.hello->identity = core_->identity();
     hello.hello->slot = settings_.slot;
     hello.hello->is_voter = core_->is_voter();
+    hello.hello->checks_positions = true;
     for (const instance_id voter : core_->log().voters())
     {
         hello.hello->instances.push_back(voter);
@@ -456,6 +451,14 @@
         return;
     }
     membership_.set_identity(hello.slot, hello.identity);
+    if (hello.checks_positions)
+    {
+        slots_checking_positions_.insert(hello.slot);
+    }
+    else
+    {
+        slots_checking_positions_.erase(hello.slot);
+    }
     add_peer(hello.slot);
     for (const instance_id named : hello.instances)
     {
@@ -661,6 +664,7 @@
 
 void control_server::on_tick_timer()
 {
+    pauses_.note();
     resume_storage();
     peers_.connect_missing(steady_now());
     if (is_storage_available_)
@@ -741,6 +745,7 @@
         {"control_requests_total", "forwarded", static_cast<double>(counters_.forwarded)},
         {"control_requests_total", "no_leader", static_cast<double>(counters_.no_leader)},
         {"control_requests_total", "not_confirmed", static_cast<double>(counters_.not_confirmed)},
+        {"control_requests_total", "outdated", static_cast<double>(counters_.outdated)},
         {"control_broken_frames_total", "", static_cast<double>(counters_.broken_frames)},
         {"control_syncs_total", "", static_cast<double>(counters_.syncs)},
         {"control_updates_sent_total", "",
--- a/modules/carawayshelf_io/control_server.hpp
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -3,6 +3,7 @@
 #include "carawayshelf_catalogue/cluster_state.hpp"
 #include "carawayshelf_consensus/consensus_core.hpp"
 #include "carawayshelf_consensus/membership_manager.hpp"
+#include "carawayshelf_consensus/order_fence.hpp"
 #include "carawayshelf_io/control_protocol.hpp"
 #include "carawayshelf_io/encoded_update_cache.hpp"
 #include "carawayshelf_io/file_log_store.hpp"
@@ -10,6 +11,7 @@
 #include "carawayshelf_io/lease_table.hpp"
 #include "carawayshelf_io/lifetime_guard.hpp"
 #include "carawayshelf_io/metrics_page.hpp"
+#include "carawayshelf_io/pause_monitor.hpp"
 #include "carawayshelf_io/peer_links.hpp"
 #include "carawayshelf_io/platform_binding.hpp"
 #include "carawayshelf_io/restart_state_store.hpp"
@@ -40,6 +42,7 @@
     std::atomic<std::uint64_t> forwarded{0};
     std::atomic<std::uint64_t> no_leader{0};
     std::atomic<std::uint64_t> not_confirmed{0};
+    std::atomic<std::uint64_t> outdated{0};
     std::atomic<std::uint64_t> broken_frames{0};
     std::atomic<std::uint64_t> syncs{0};
     std::atomic<std::uint64_t> storage_failures{0};
@@ -62,7 +65,14 @@
 
     void replace(const traffic_configuration& configuration, operator_result_handler done) override;
     void read(operator_result_handler done) override;
-    void set_domain_out(const std::string& domain, bool out, operator_result_handler done) override;
+    void set_domain_out(const std::string& domain, bool out, caller_check is_caller_waiting,
+                        operator_result_handler done) override;
+
+    /** Notes that this instance runs whenever it does periodic work. */
+    pause_monitor& pauses()
+    {
+        return pauses_;
+    }
 
     /** Whether any request of an operator or daemon still waits for its outcome. */
     bool has_pending_requests() const
@@ -89,6 +99,7 @@
     {
         connection_pointer connection;
         time_point last_heard;
+        time_point opened_at; ///< By the clock of the pause monitor.
     };
 
     /** A daemon that receives updates over its connection. */
@@ -151,8 +162,27 @@
     void on_tick_timer();
     void on_lease_timer();
 
+    /** A request that must not undo what was accepted after its sender gave up. */
+    struct ordered_request
+    {
+        buffers::request_object request;
+        caller_check is_caller_waiting;
+        bool is_order =
+            false; ///< Of an operator; not proposed by a leader that checks no position.
+        reply_handler done;
+        int attempts = 0;
+    };
+
     // Requests of operators and daemons, in control_server_requests.cpp.
     void submit_change(const change& edit, operator_result_handler done);
+    void submit_ordered(const std::shared_ptr<ordered_request>& ordered,
+                        const std::optional<log_position>& reached);
+    void handle_client_request(const connection_pointer& connection,
+                               const buffers::request_object& request);
+    std::optional<log_position> known_position() const;
+    bool is_leader_checking_positions() const;
+    bool is_outdated(const change& edit, const buffers::request_object& request,
+                     const reply_handler& done);
     static reply_handler make_reply_handler(operator_result_handler done);
     void handle_request(const buffers::request_object& request, reply_handler done);
     void handle_request_as_leader(const buffers::request_object& request, reply_handler done);
@@ -188,6 +218,9 @@
     std::unique_ptr<consensus_core> core_;
     cluster_state state_;
     membership_manager membership_;
+    order_fence order_fence_;
+    std::set<instance_slot> slots_checking_positions_; ///< Others' builds do so as leaders.
+    pause_monitor pauses_;
     lease_table leases_;
     restart_state_store restart_states_;
     boost::asio::ip::tcp::acceptor acceptor_;
--- a/modules/carawayshelf_io/control_server_requests.cpp
+++ b/modules/carawayshelf_io/control_server_requests.cpp
@@ -8,6 +8,56 @@
 namespace carawayshelf
 {
 
+namespace
+{
+
+/** Attempts at an order that others overtake: as many as orders that are in progress at once. */
+constexpr int max_order_attempts = 8;
+
+/** Returns what a change is about if its effect depends on its place among the other changes of
+    that; empty for a change with a condition of its own. */
+std::string ordered_subject(const change& edit)
+{
+    if (const set_domain_state* domain_change = std::get_if<set_domain_state>(&edit))
+    {
+        return "failure domain " + domain_change->domain;
+    }
+    if (const announce_member* announced = std::get_if<announce_member>(&edit))
+    {
+        return "member at " + to_string(announced->data);
+    }
+    return {};
+}
+
+std::unique_ptr<buffers::log_position_object> pack_position(const log_position& value)
+{
+    std::unique_ptr<buffers::log_position_object> packed =
+        std::make_unique<buffers::log_position_object>();
+    packed->term = value.term;
+    packed->index = value.index;
+    return packed;
+}
+
+log_position unpack_position(const buffers::log_position_object& packed)
+{
+    return {packed.term, packed.index};
+}
+
+/** Copies a request; the generated types have no copy constructor. */
+void copy_request(const buffers::request_object& from, buffers::request_object& to)
+{
+    to.number = from.number;
+    to.kind = from.kind;
+    to.name = from.name;
+    to.generation = from.generation;
+    const std::optional<change> edit =
+        from.proposed ? unpack_change(*from.proposed) : std::optional<change>();
+    to.proposed = edit ? pack_change(*edit) : nullptr;
+    to.known = from.known ? pack_position(unpack_position(*from.known)) : nullptr;
+}
+
+} // namespace
+
 void control_server::handle_request(const buffers::request_object& request, reply_handler done)
 {
     if (request.kind >= request_kind_names.size())
@@ -64,18 +114,8 @@
     pending_forwards_[number] = {request.number, std::move(done), steady_now(), leader};
     frame sent;
     sent.forwarded_request = std::make_unique<buffers::request_object>();
-    buffers::request_object& copy = *sent.forwarded_request;
-    copy.number = number;
-    copy.kind = request.kind;
-    copy.name = request.name;
-    copy.generation = request.generation;
-    if (request.proposed)
-    {
-        if (const std::optional<change> edit = unpack_change(*request.proposed))
-        {
-            copy.proposed = pack_change(*edit);
-        }
-    }
+    copy_request(request, *sent.forwarded_request);
+    sent.forwarded_request->number = number;
     leader->send(sent);
 }
 
@@ -143,7 +183,45 @@
         done(make_error_reply(request.number, error_kind::malformed_frame, "no change given"));
         return;
     }
-    propose_change(*edit, request.number, std::move(done));
+    if (!is_outdated(*edit, request, done))
+    {
+        propose_change(*edit, request.number, std::move(done));
+    }
+}
+
+/** Returns whether a change comes too late to be proposed, and replies so. */
+bool control_server::is_outdated(const change& edit, const buffers::request_object& request,
+                                 const reply_handler& done)
+{
+    const std::string subject = ordered_subject(edit);
+    if (subject.empty())
+    {
+        return false;
+    }
+    if (!request.known)
+    {
+        // Forwarded by an instance of an older version. It can't tell how long an order has waited.
+        // A repeated announcement changes nothing, and its sender repeats it to nobody else.
+        const bool is_accepted = std::holds_alternative<announce_member>(edit);
+        if (!is_accepted)
+        {
+            ++counters_.outdated;
+            done(make_error_reply(request.number, error_kind::outdated_order,
+                                  "the instance that forwarded it runs an older version: send it "
+                                  "to another one"));
+        }
+        return !is_accepted;
+    }
+    if (order_fence_.admits(core_->term(), subject, unpack_position(*request.known)))
+    {
+        return false;
+    }
+    ++counters_.outdated;
+    reply_pointer reply = make_error_reply(request.number, error_kind::outdated_order,
+                                           "another change of " + subject + " came first");
+    reply->reached = pack_position({core_->term(), core_->log().last_index()});
+    done(std::move(reply));
+    return true;
 }
 
 void control_server::propose_change(const change& edit, std::uint64_t number, reply_handler done)
@@ -158,10 +236,111 @@
         }
         return;
     }
+    const std::string subject = ordered_subject(edit);
+    if (!subject.empty())
+    {
+        order_fence_.note({core_->term(), *index}, subject);
+    }
     pending_proposals_[*index] = {core_->term(), number, std::move(done)};
     schedule_output_processing();
 }
 
+/** Returns a position that the leader's log has reached; nothing while no leader is known. The
+    leader holds all records that are known to be committed. */
+std::optional<log_position> control_server::known_position() const
+{
+    if (!is_storage_available_ || core_->leader() == 0)
+    {
+        return std::nullopt;
+    }
+    const bool is_leader = core_->role() == consensus_role::leader;
+    return log_position{core_->term(),
+                        is_leader ? core_->log().last_index() : core_->commit_index()};
+}
+
+/** Whether the leader's build rejects outdated requests; an older one ignores the position. */
+bool control_server::is_leader_checking_positions() const
+{
+    return core_->role() == consensus_role::leader ||
+           slots_checking_positions_.count(slot_of(core_->leader())) != 0;
+}
+
+/** Submits a request with a position that the leader's log had reached while the caller was still
+    waiting, and repeats it while it is overtaken by others.
+    @param reached  position from the leader's reply to the previous attempt */
+void control_server::submit_ordered(const std::shared_ptr<ordered_request>& ordered,
+                                    const std::optional<log_position>& reached)
+{
+    buffers::request_object& request = ordered->request;
+    // The position first: the caller must still be waiting when it is known here.
+    const std::optional<log_position> position = reached ? reached : known_position();
+    if (!position)
+    {
+        ++counters_.no_leader;
+        ordered->done(make_error_reply(request.number, error_kind::no_leader, ""));
+        return;
+    }
+    if (ordered->is_order && !is_leader_checking_positions())
+    {
+        ordered->done(make_error_reply(request.number, error_kind::outdated_order,
+                                       "the leader runs an older version: send it to the leader"));
+        return;
+    }
+    if (!ordered->is_caller_waiting() || ++ordered->attempts > max_order_attempts)
+    {
+        ++counters_.outdated;
+        ordered->done(make_error_reply(request.number, error_kind::outdated_order,
+                                       "its sender may have given up"));
+        return;
+    }
+    request.known = pack_position(*position);
+    handle_request(request,
+                   [this, ordered](reply_pointer reply)
+                   {
+                       const bool is_overtaken =
+                           static_cast<error_kind>(reply->error) == error_kind::outdated_order;
+                       if (is_overtaken && reply->reached)
+                       {
+                           submit_ordered(ordered, unpack_position(*reply->reached));
+                           return;
+                       }
+                       ordered->done(std::move(reply));
+                   });
+}
+
+void control_server::handle_client_request(const connection_pointer& connection,
+                                           const buffers::request_object& request)
+{
+    const reply_handler done = [connection](reply_pointer reply)
+    {
+        frame answer;
+        answer.client_reply = std::move(reply);
+        connection->send(answer);
+    };
+    const std::optional<change> edit =
+        request.proposed ? unpack_change(*request.proposed) : std::optional<change>();
+    if (!edit || ordered_subject(*edit).empty())
+    {
+        handle_request(request, done);
+        return;
+    }
+    const bool is_order = std::holds_alternative<set_domain_state>(*edit);
+    const auto known = connections_.find(connection.get());
+    const time_point opened_at =
+        known == connections_.end() ? time_point() : known->second.opened_at;
+    std::shared_ptr<ordered_request> ordered = std::make_shared<ordered_request>();
+    copy_request(request, ordered->request);
+    // A daemon that is still connected repeats an announcement over the same connection, so that
+    // one is not rejected because of a pause.
+    ordered->is_caller_waiting = [this, connection, opened_at, is_order]
+    {
+        return connection->is_peer_present() && !(is_order && pauses_.may_have_waited(opened_at));
+    };
+    ordered->is_order = is_order;
+    ordered->done = done;
+    submit_ordered(ordered, std::nullopt);
+}
+
 control_server::reply_pointer
 control_server::make_read_reply(const buffers::request_object& request)
 {
@@ -346,7 +525,7 @@
 }
 
 void control_server::set_domain_out(const std::string& domain, bool out,
-                                    operator_result_handler done)
+                                    caller_check is_caller_waiting, operator_result_handler done)
 {
     const bool is_known = std::find(settings_.domains.begin(), settings_.domains.end(), domain) !=
                           settings_.domains.end();
@@ -361,7 +540,14 @@
     edit.domain = domain;
     edit.out = out;
     edit.is_unconditional = true;
-    submit_change(edit, std::move(done));
+    std::shared_ptr<ordered_request> ordered = std::make_shared<ordered_request>();
+    ordered->request.kind = static_cast<std::uint8_t>(request_kind::propose);
+    ordered->request.proposed = pack_change(edit);
+    ordered->is_caller_waiting = std::move(is_caller_waiting);
+    ordered->is_order = true;
+    ordered->done = make_reply_handler(std::move(done));
+    submit_ordered(ordered, std::nullopt);
+    schedule_output_processing();
 }
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_io/frame_connection.cpp
+++ b/modules/carawayshelf_io/frame_connection.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <poll.h>
+
 #include <utility>
 
 namespace carawayshelf
@@ -14,6 +16,13 @@
     return {boost::asio::ip::address_v4(value.address), value.port};
 }
 
+bool is_closed_by_peer(boost::asio::ip::tcp::socket& socket)
+{
+    pollfd polled{socket.native_handle(), POLLRDHUP, 0};
+    const int ready = ::poll(&polled, 1, 0);
+    return ready > 0 && (polled.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
+}
+
 frame_connection::frame_connection(boost::asio::ip::tcp::socket socket) : socket_(std::move(socket))
 {
     boost::system::error_code ignored;
--- a/modules/carawayshelf_io/frame_connection.hpp
+++ b/modules/carawayshelf_io/frame_connection.hpp
@@ -19,6 +19,10 @@
 
 boost::asio::ip::tcp::endpoint to_asio(const endpoint& value);
 
+/** Whether the peer of an open connection has closed it, as far as this machine knows. Also detects
+    this while received bytes are waiting to be read. */
+bool is_closed_by_peer(boost::asio::ip::tcp::socket& socket);
+
 /** A TCP connection that carries frames. A pending read or write keeps the object alive. All calls
     and handlers run on its io_context's thread. */
 class frame_connection : public std::enable_shared_from_this<frame_connection>
@@ -48,6 +52,13 @@
         return is_open_;
     }
 
+    /** Whether the connection is open, and the peer has not closed it as far as this machine
+        knows. Also true while received frames are waiting to be read. */
+    bool is_peer_present()
+    {
+        return is_open_ && !is_closed_by_peer(socket_);
+    }
+
     /** Whether a frame has been received in part. */
     bool is_receiving() const
     {
--- a/modules/carawayshelf_io/http_server.cpp
+++ b/modules/carawayshelf_io/http_server.cpp
@@ -32,7 +32,8 @@
     http_session(boost::asio::ip::tcp::socket socket, http_handler handler,
                  std::size_t max_body_bytes, shared_pointer shared)
         : stream_(std::move(socket)), handler_(std::move(handler)), max_body_bytes_(max_body_bytes),
-          shared_(std::move(shared))
+          shared_(std::move(shared)),
+          opened_at_(shared_->pauses == nullptr ? time_point() : shared_->pauses->note())
     {
     }
 
@@ -75,7 +76,11 @@
         const http::request<http::string_body>& received = parser_->get();
         close_after_response_ = !received.keep_alive();
         http_request request{received.method_string().to_string(), received.target().to_string(),
-                             received.body()};
+                             received.body(),
+                             [self = shared_from_this()]
+                             {
+                                 return self->is_caller_waiting();
+                             }};
         stream_.expires_never();
         begin_request();
         if (shared_->is_stopping)
@@ -85,11 +90,29 @@
                           {503, "text/plain", "this instance stops: call another one\n"});
             return;
         }
+        if (shared_->pauses != nullptr && !is_caller_waiting())
+        {
+            log_warning("rejected a request whose sender may have given up: " +
+                        abbreviate(request.method + " " + request.target));
+            close_after_response_ = true;
+            send_response(request_number_,
+                          {503, "text/plain",
+                           "not carried out, since it may have been delayed: send it again, over a "
+                           "connection that stays open until the response\n"});
+            return;
+        }
         handler_(request, [self = shared_from_this(),
                            number = request_number_](const http_response& response)
                  { self->send_response(number, response); });
     }
 
+    bool is_caller_waiting()
+    {
+        const bool may_have_waited =
+            shared_->pauses != nullptr && shared_->pauses->may_have_waited(opened_at_);
+        return !may_have_waited && !is_closed_by_peer(stream_.socket());
+    }
+
     void begin_request()
     {
         ++request_number_;
@@ -140,6 +163,7 @@
     http_handler handler_;
     std::size_t max_body_bytes_;
     shared_pointer shared_;
+    time_point opened_at_;             ///< By the clock of the pause monitor.
     std::uint64_t request_number_ = 0; ///< Number of the current request.
     bool is_response_sent_ = false;
     bool close_after_response_ = false;
--- a/modules/carawayshelf_io/http_server.hpp
+++ b/modules/carawayshelf_io/http_server.hpp
@@ -3,6 +3,7 @@
 #include "carawayshelf_core/endpoint.hpp"
 #include "carawayshelf_core/error.hpp"
 #include "carawayshelf_io/lifetime_guard.hpp"
+#include "carawayshelf_io/pause_monitor.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -16,11 +17,20 @@
 namespace carawayshelf
 {
 
+/** Whether the sender of a request still waits for its response: it has not closed the connection,
+    as far as this machine knows, and no pause of this process puts that in doubt. */
+using caller_check = std::function<bool()>;
+
 struct http_request
 {
     std::string method;
     std::string target;
     std::string body;
+    /** Call on the io_context's thread; set by http_server. */
+    caller_check is_caller_waiting = []
+    {
+        return true;
+    };
 };
 
 struct http_response
@@ -52,6 +62,14 @@
     /** Starts listening at an address. Errors: invalid_settings if it can't be bound. */
     failure start(const endpoint& address);
 
+    /** From now on, responds with 503 to each request whose sender may have given up, and doesn't
+        pass it to the handler. Call before start().
+        @param pauses  must outlive the io_context's last handler */
+    void reject_abandoned_requests(pause_monitor& pauses)
+    {
+        shared_->pauses = &pauses;
+    }
+
     /** Stops accepting connections, and responds to new requests on open connections with 503.
         Pending requests still get their responses. */
     void begin_stop();
@@ -74,6 +92,7 @@
         std::map<unsigned, std::uint64_t> response_counts;
         std::size_t pending_requests = 0;
         bool is_stopping = false;
+        pause_monitor* pauses = nullptr; ///< Unless null, abandoned requests are rejected.
     };
 
 private:
--- a/modules/carawayshelf_io/operator_client.cpp
+++ b/modules/carawayshelf_io/operator_client.cpp
@@ -15,7 +15,8 @@
 
 bool is_retryable(error_kind error)
 {
-    return error == error_kind::no_leader || error == error_kind::not_confirmed;
+    return error == error_kind::no_leader || error == error_kind::not_confirmed ||
+           error == error_kind::outdated_order;
 }
 
 /** Copies a request; the generated types have no copy constructor. */
--- a/modules/carawayshelf_io/operator_commands.cpp
+++ b/modules/carawayshelf_io/operator_commands.cpp
@@ -57,6 +57,7 @@
     case error_kind::no_leader:
     case error_kind::not_confirmed:
     case error_kind::unreachable:
+    case error_kind::outdated_order:
         return exit_code::not_reached;
     case error_kind::not_in_force_everywhere:
         return exit_code::not_in_force_everywhere;
--- /dev/null
+++ b/modules/carawayshelf_io/pause_monitor.cpp
@@ -0,0 +1,56 @@
+#include "carawayshelf_io/pause_monitor.hpp"
+
+#include "carawayshelf_io/json_log.hpp"
+
+#include <algorithm>
+#include <ctime>
+#include <string>
+#include <utility>
+
+namespace carawayshelf
+{
+
+namespace
+{
+
+/** Time after a pause in which connections are still accepted that were opened during it. */
+constexpr duration accept_delay = std::chrono::milliseconds(500);
+
+} // namespace
+
+time_point time_since_boot()
+{
+    timespec value{};
+    ::clock_gettime(CLOCK_BOOTTIME, &value);
+    return time_point(std::chrono::duration_cast<duration>(
+        std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec)));
+}
+
+pause_monitor::pause_monitor(clock now) : now_(std::move(now)), last_noted_(now_())
+{
+}
+
+time_point pause_monitor::note()
+{
+    const time_point instant = now_();
+    const duration pause = instant - std::exchange(last_noted_, instant);
+    if (pause >= min_pause)
+    {
+        opened_before_ = instant + accept_delay;
+        affected_until_ =
+            std::max(affected_until_, instant + std::min(pause, max_retransmission_interval));
+        log_warning(
+            "did not run for " +
+            std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(pause).count()) +
+            " ms: rejects requests that may have waited meanwhile");
+    }
+    return instant;
+}
+
+bool pause_monitor::may_have_waited(time_point opened_at)
+{
+    const time_point instant = note();
+    return instant < affected_until_ && opened_at < opened_before_;
+}
+
+} // namespace carawayshelf
--- a/modules/carawayshelf_io/platform_binding.hpp
+++ b/modules/carawayshelf_io/platform_binding.hpp
@@ -40,9 +40,10 @@
         Errors: no_leader, not_confirmed, unknown_service if there is no configuration yet. */
     virtual void read(operator_result_handler done) = 0;
 
-    /** Takes a failure domain out of service, or puts it back into service.
-        Errors: unknown_domain, no_leader, not_confirmed. */
-    virtual void set_domain_out(const std::string& domain, bool out,
+    /** Takes a failure domain out of service, or puts it back into service. Not carried out once
+        the caller has given up, so that it can't undo an order that was accepted since.
+        Errors: unknown_domain, no_leader, not_confirmed, outdated_order. */
+    virtual void set_domain_out(const std::string& domain, bool out, caller_check is_caller_waiting,
                                 operator_result_handler done) = 0;
 };
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -43,7 +43,8 @@
         done(next_result);
     }
 
-    void set_domain_out(const std::string& domain, bool out, operator_result_handler done) override
+    void set_domain_out(const std::string& domain, bool out, caller_check /*is_caller_waiting*/,
+                        operator_result_handler done) override
     {
         domain_changes.emplace_back(domain, out);
         done(next_result);
--- a/tests/unit/control_server_test.cpp
+++ b/tests/unit/control_server_test.cpp
@@ -15,6 +15,7 @@
 
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -213,6 +214,72 @@
         return reply;
     }
 
+    /** Sends an order about a failure domain to an instance over HTTP's interface, and repeats it
+        until it is accepted. Returns whether it is. */
+    bool order_until_accepted(std::size_t at, const std::string& domain, bool out)
+    {
+        for (int i = 0; i < 200; ++i)
+        {
+            operator_result outcome;
+            bool is_done = false;
+            servers[at]->set_domain_out(
+                domain, out, [] { return true; },
+                [&](const operator_result& result)
+                {
+                    outcome = result;
+                    is_done = true;
+                });
+            BOOST_TEST(run_until([&is_done] { return is_done; }));
+            if (outcome.error == error_kind::none)
+            {
+                return true;
+            }
+            io.restart();
+            io.run_for(std::chrono::milliseconds(20));
+        }
+        return false;
+    }
+
+    /** Whether a failure domain is out of service. */
+    bool is_out(const std::string& domain)
+    {
+        const std::unique_ptr<buffers::reply_object> reply =
+            call(leader(), request_kind::list_domains);
+        BOOST_REQUIRE(reply);
+        return std::any_of(reply->domains.begin(), reply->domains.end(),
+                           [&domain](const std::unique_ptr<buffers::domain_state_object>& known)
+                           { return known->name == domain && known->out; });
+    }
+
+    /** Sends a frame to an instance and runs for a while. Returns the reply to its request, if
+       there is one. */
+    std::unique_ptr<buffers::reply_object> exchange(std::size_t index, const frame& sent)
+    {
+        std::unique_ptr<buffers::reply_object> reply;
+        const std::shared_ptr<frame_connection> connection = connect(
+            index,
+            [&reply](frame& received)
+            {
+                if (received.client_reply)
+                {
+                    reply = std::move(received.client_reply);
+                }
+                if (received.forwarded_reply)
+                {
+                    reply = std::move(received.forwarded_reply);
+                }
+            },
+            [](const failure& /*why*/) {});
+        connection->send(sent);
+        for (int i = 0; i < 100 && !reply; ++i)
+        {
+            io.restart();
+            io.run_for(std::chrono::milliseconds(10));
+        }
+        connection->close({});
+        return reply;
+    }
+
     bool is_safe_to_lose_one(std::size_t index)
     {
         const std::unique_ptr<buffers::reply_object> reply = call(index, request_kind::status);
@@ -270,6 +337,38 @@
     return answer;
 }
 
+set_domain_state make_domain_change(const std::string& domain, bool out)
+{
+    set_domain_state edit;
+    edit.domain = domain;
+    edit.out = out;
+    edit.is_unconditional = true;
+    return edit;
+}
+
+/** An announcement of an agent, the same but for the epoch. */
+announce_member make_announcement(std::uint64_t epoch)
+{
+    announce_member edit;
+    edit.name = "agent-1";
+    edit.domain = "cuyo-a";
+    edit.service = "despacho";
+    edit.data = {first_address + 20, 8172};
+    edit.epoch = epoch;
+    return edit;
+}
+
+/** A client's request to apply a change. */
+frame make_proposal(const change& edit)
+{
+    frame sent;
+    sent.client_request = std::make_unique<buffers::request_object>();
+    sent.client_request->number = 1;
+    sent.client_request->kind = static_cast<std::uint8_t>(request_kind::propose);
+    sent.client_request->proposed = pack_change(edit);
+    return sent;
+}
+
 /** Several balancers, each of which starts at a random one of the given control instances. */
 class daemon_fleet
 {
@@ -345,11 +444,10 @@
     BOOST_TEST(test_cluster.read(0).content == "three");
     BOOST_TEST((test_cluster.replace(1, 3, "other").error == error_kind::version_conflict));
     bool is_refused = false;
-    test_cluster.servers[0]->set_domain_out("nowhere", true,
-                                            [&is_refused](const operator_result& outcome) {
-                                                is_refused =
-                                                    outcome.error == error_kind::unknown_domain;
-                                            });
+    test_cluster.servers[0]->set_domain_out(
+        "nowhere", true, [] { return true; },
+        [&is_refused](const operator_result& outcome)
+        { is_refused = outcome.error == error_kind::unknown_domain; });
     BOOST_TEST(is_refused);
 }
 
@@ -388,6 +486,147 @@
     BOOST_TEST(test_cluster.read(1).content == "three");
 }
 
+/** A frozen instance carried out orders and announcements when it continued, long after their
+    senders had closed the connections and given them to other instances. */
+BOOST_AUTO_TEST_CASE(an_order_is_not_carried_out_after_its_sender_closed_the_connection)
+{
+    for (const bool at_leader : {false, true})
+    {
+        cluster test_cluster;
+        BOOST_TEST(test_cluster.order_until_accepted(0, "cuyo-a", true));
+        const std::size_t leader = test_cluster.leader();
+        const std::size_t frozen = at_leader ? leader : (leader + 1) % 3;
+        boost::asio::ip::tcp::socket sender(test_cluster.io);
+        sender.connect(to_asio(test_cluster.all_settings[frozen].address));
+        test_cluster.io.restart();
+        test_cluster.io.run_for(std::chrono::milliseconds(50));
+        // While the io_context doesn't run, the instance is frozen.
+        for (const change& edit :
+             {change(make_domain_change("cuyo-a", false)), change(make_announcement(1))})
+        {
+            boost::asio::write(sender, boost::asio::buffer(encode_frame(make_proposal(edit))));
+        }
+        sender.close();
+        test_cluster.io.restart();
+        test_cluster.io.run_for(std::chrono::milliseconds(300));
+        BOOST_TEST(test_cluster.is_out("cuyo-a"));
+        const std::unique_ptr<buffers::reply_object> reply =
+            test_cluster.call(test_cluster.leader(), request_kind::status);
+        BOOST_REQUIRE(reply && reply->state);
+        BOOST_TEST(reply->state->members.empty());
+    }
+}
+
+/** An order that was held up on its way to the leader undid a later one that had been accepted.
+   Also after an order that found the failure domain in that state already. */
+BOOST_AUTO_TEST_CASE(a_forwarded_order_does_not_undo_one_that_was_accepted_since)
+{
+    cluster test_cluster;
+    BOOST_TEST(test_cluster.order_until_accepted(0, "cuyo-a", true));
+    const std::size_t leader = test_cluster.leader();
+    const std::unique_ptr<buffers::reply_object> status =
+        test_cluster.call(leader, request_kind::status);
+    BOOST_REQUIRE(status && status->state);
+    frame delayed;
+    delayed.forwarded_request =
+        std::move(make_proposal(make_domain_change("cuyo-a", false)).client_request);
+    delayed.forwarded_request->known = std::make_unique<buffers::log_position_object>();
+    delayed.forwarded_request->known->term = status->state->term;
+    delayed.forwarded_request->known->index = status->state->generation;
+    BOOST_TEST(test_cluster.order_until_accepted((leader + 1) % 3, "cuyo-a", true));
+    const std::unique_ptr<buffers::reply_object> reply = test_cluster.exchange(leader, delayed);
+    BOOST_REQUIRE(reply);
+    BOOST_TEST((static_cast<error_kind>(reply->error) == error_kind::outdated_order));
+    BOOST_TEST(test_cluster.is_out("cuyo-a"));
+}
+
+/** The repeat of an announcement that was delayed at one instance must not add a member that has
+    left since, or retire the one that now has its address. */
+BOOST_AUTO_TEST_CASE(a_delayed_announcement_does_not_replace_a_later_member)
+{
+    cluster test_cluster;
+    BOOST_TEST(test_cluster.order_until_accepted(0, "cuyo-a", false));
+    const std::size_t leader = test_cluster.leader();
+    const std::unique_ptr<buffers::reply_object> status =
+        test_cluster.call(leader, request_kind::status);
+    BOOST_REQUIRE(status && status->state);
+    frame delayed;
+    delayed.forwarded_request = std::move(make_proposal(make_announcement(1)).client_request);
+    delayed.forwarded_request->known = std::make_unique<buffers::log_position_object>();
+    delayed.forwarded_request->known->term = status->state->term;
+    delayed.forwarded_request->known->index = status->state->generation;
+    std::unique_ptr<buffers::reply_object> joined =
+        test_cluster.exchange((leader + 1) % 3, make_proposal(make_announcement(1)));
+    BOOST_REQUIRE(joined && joined->result);
+    joined = test_cluster.exchange((leader + 1) % 3, make_proposal(make_announcement(2)));
+    BOOST_REQUIRE(joined && joined->result);
+    const std::uint32_t member = joined->result->member_id;
+    BOOST_REQUIRE(member != 0);
+    const std::unique_ptr<buffers::reply_object> reply = test_cluster.exchange(leader, delayed);
+    BOOST_REQUIRE(reply);
+    BOOST_TEST((static_cast<error_kind>(reply->error) == error_kind::outdated_order));
+    const std::unique_ptr<buffers::reply_object> after =
+        test_cluster.call(leader, request_kind::status);
+    BOOST_REQUIRE(after && after->state);
+    BOOST_REQUIRE_EQUAL(after->state->members.size(), 1U);
+    BOOST_TEST(after->state->members[0]->id == member);
+}
+
+/** An instance of an earlier build forwards an order whatever the time that it has waited. */
+BOOST_AUTO_TEST_CASE(a_leader_accepts_from_earlier_builds_announcements_but_no_orders)
+{
+    cluster test_cluster;
+    BOOST_TEST(test_cluster.order_until_accepted(0, "cuyo-a", true));
+    const std::size_t leader = test_cluster.leader();
+    frame order;
+    order.forwarded_request =
+        std::move(make_proposal(make_domain_change("cuyo-a", false)).client_request);
+    std::unique_ptr<buffers::reply_object> reply = test_cluster.exchange(leader, order);
+    BOOST_REQUIRE(reply);
+    BOOST_TEST((static_cast<error_kind>(reply->error) == error_kind::outdated_order));
+    BOOST_TEST(test_cluster.is_out("cuyo-a"));
+    frame announcement;
+    announcement.forwarded_request = std::move(make_proposal(make_announcement(1)).client_request);
+    reply = test_cluster.exchange(leader, announcement);
+    BOOST_REQUIRE(reply && reply->result);
+    BOOST_TEST(reply->result->member_id != 0U);
+}
+
+/** A follower learns of an accepted order a little later than the caller, whose next order it
+    submits again, at the position that the leader names. */
+BOOST_AUTO_TEST_CASE(orders_in_quick_succession_at_all_instances_are_accepted)
+{
+    cluster test_cluster;
+    BOOST_TEST(test_cluster.order_until_accepted(0, "cuyo-a", true));
+    for (std::size_t i = 0; i < 60; ++i)
+    {
+        bool is_done = false;
+        operator_result outcome;
+        test_cluster.servers[i % 3]->set_domain_out(
+            "cuyo-a", i % 2 == 0, [] { return true; },
+            [&](const operator_result& result)
+            {
+                outcome = result;
+                is_done = true;
+            });
+        BOOST_TEST(test_cluster.run_until([&is_done] { return is_done; }));
+        BOOST_TEST((outcome.error == error_kind::none), outcome.detail);
+    }
+    BOOST_TEST(!test_cluster.is_out("cuyo-a"));
+}
+
+BOOST_AUTO_TEST_CASE(an_order_is_given_up_when_its_caller_is_gone_before_it_is_repeated)
+{
+    cluster test_cluster;
+    BOOST_TEST(test_cluster.order_until_accepted(0, "cuyo-a", true));
+    operator_result outcome;
+    test_cluster.servers[1]->set_domain_out(
+        "cuyo-a", false, [] { return false; },
+        [&outcome](const operator_result& result) { outcome = result; });
+    BOOST_TEST((outcome.error == error_kind::outdated_order));
+    BOOST_TEST(test_cluster.is_out("cuyo-a"));
+}
+
 /** Control instances exchange their identities once in each connection. Those that arrived at an
     instance with a full disk were dropped: it was never counted as safe to lose one again, and
     would not have become a voter again after its removal. */
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -1,5 +1,6 @@
 /** @file
-    The HTTP server: handlers that respond twice, and a planned stop.
+    The HTTP server: handlers that respond twice, a planned stop, and requests whose senders may
+   have given up.
 */
 #include "carawayshelf_io/frame_connection.hpp"
 #include "carawayshelf_io/http_server.hpp"
@@ -124,6 +125,125 @@
     BOOST_TEST(fixture.receive().find("503") != std::string::npos);
 }
 
+/** An operator's order was carried out after a frozen control instance had continued, although the
+    operator had given it to another instance meanwhile. */
+BOOST_AUTO_TEST_CASE(a_request_is_not_carried_out_after_its_sender_closed_the_connection)
+{
+    http_fixture fixture;
+    pause_monitor pauses;
+    fixture.server.reject_abandoned_requests(pauses);
+    fixture.run();
+    boost::asio::write(fixture.client, boost::asio::buffer(get));
+    fixture.client.close();
+    fixture.run();
+    BOOST_TEST(fixture.responders.empty());
+    BOOST_TEST(fixture.server.response_counts().at(503) == 1U);
+}
+
+/** The close of a connection reaches a machine that was suspended later than the request. */
+BOOST_AUTO_TEST_CASE(requests_that_may_have_waited_in_a_pause_are_rejected)
+{
+    time_point instant{std::chrono::seconds(1000)};
+    pause_monitor pauses([&instant] { return instant; });
+    http_fixture fixture;
+    fixture.server.reject_abandoned_requests(pauses);
+    fixture.send(get);
+    BOOST_REQUIRE_EQUAL(fixture.responders.size(), 1U);
+    fixture.responders[0]({200, "text/plain", "before"});
+    BOOST_TEST(fixture.receive().find("200") != std::string::npos);
+    instant += std::chrono::seconds(6);
+    fixture.send(get);
+    BOOST_TEST(fixture.responders.size() == 1U);
+    const std::string rejection = fixture.receive();
+    BOOST_TEST(rejection.find("503") != std::string::npos);
+    BOOST_TEST(rejection.find("Connection: close") != std::string::npos);
+    // A connection from the time after the pause.
+    instant += std::chrono::milliseconds(499);
+    pauses.note();
+    instant += std::chrono::milliseconds(1);
+    boost::asio::ip::tcp::socket later(fixture.io);
+    later.connect(to_asio(address));
+    boost::asio::write(later, boost::asio::buffer(get));
+    fixture.run();
+    BOOST_TEST(fixture.responders.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_handler_learns_that_the_caller_has_given_up)
+{
+    time_point instant{std::chrono::seconds(1000)};
+    pause_monitor pauses([&instant] { return instant; });
+    boost::asio::io_context io;
+    std::vector<caller_check> checks;
+    http_server server(io, [&checks](const http_request& request, const http_responder&)
+                       { checks.push_back(request.is_caller_waiting); });
+    server.reject_abandoned_requests(pauses);
+    BOOST_REQUIRE(!server.start(address));
+    std::vector<boost::asio::ip::tcp::socket> clients;
+    for (int i = 0; i < 2; ++i)
+    {
+        clients.emplace_back(io);
+        clients.back().connect(to_asio(address));
+        boost::asio::write(clients.back(), boost::asio::buffer(get));
+        io.restart();
+        io.run_for(std::chrono::milliseconds(50));
+    }
+    BOOST_REQUIRE_EQUAL(checks.size(), 2U);
+    BOOST_TEST(checks[0]());
+    clients[0].close();
+    BOOST_TEST(!checks[0]());
+    BOOST_TEST(checks[1]());
+    instant += pause_monitor::min_pause;
+    BOOST_TEST(!checks[1]());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(pause_monitors)
+
+BOOST_AUTO_TEST_CASE(short_gaps_are_ignored)
+{
+    time_point instant{std::chrono::seconds(1000)};
+    pause_monitor pauses([&instant] { return instant; });
+    const time_point opened_at = pauses.note();
+    instant += pause_monitor::min_pause - duration(1);
+    BOOST_TEST(!pauses.may_have_waited(opened_at));
+}
+
+BOOST_AUTO_TEST_CASE(doubt_lasts_as_long_as_the_pause)
+{
+    time_point instant{std::chrono::seconds(1000)};
+    pause_monitor pauses([&instant] { return instant; });
+    const time_point opened_at = pauses.note();
+    const duration step = std::chrono::milliseconds(400);
+    instant += step * 5;
+    BOOST_TEST(pauses.may_have_waited(opened_at));
+    for (int i = 0; i < 4; ++i)
+    {
+        instant += step;
+        BOOST_TEST(pauses.may_have_waited(opened_at));
+    }
+    instant += step;
+    BOOST_TEST(!pauses.may_have_waited(opened_at));
+}
+
+/** A second, shorter pause does not end the doubt that the first one left. */
+BOOST_AUTO_TEST_CASE(the_longest_doubt_counts)
+{
+    time_point instant{std::chrono::seconds(1000)};
+    pause_monitor pauses([&instant] { return instant; });
+    const time_point opened_at = pauses.note();
+    instant += std::chrono::seconds(6);
+    pauses.note();
+    instant += std::chrono::milliseconds(600);
+    pauses.note();
+    for (int i = 0; i < 10; ++i)
+    {
+        instant += std::chrono::milliseconds(400);
+        pauses.note();
+    }
+    BOOST_TEST(pauses.may_have_waited(opened_at));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace carawayshelf
