Soak of orders: control instances are frozen, killed and restarted

order_history runs three control instances as processes. Callers give orders about failure domains, first to a frozen instance and then to others, and some close the connections of orders that they gave up late. After each series the state must be that of the last acknowledged order.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -43,6 +43,7 @@
 
 run_test fuzz/decoders "build/$preset/tests/fuzz_decoders" --corpus=tests/fuzz/corpus
 run_test process/runbook env "CLUSTER_BUILD=$PWD/build/$preset" tests/process/runbook.sh
+run_test process/orders env "CLUSTER_BUILD=$PWD/build/$preset" tests/process/orders.sh
 run_test process/flows env "CLUSTER_BUILD=$PWD/build/$preset" tests/process/flows.sh
 
 if [ -s KNOWN-RED.txt ]; then
