--- a/modules/carawayshelf_io/pause_monitor.cpp
+++ b/modules/carawayshelf_io/pause_monitor.cpp
@@ -3,7 +3,6 @@
 #include "carawayshelf_io/json_log.hpp"
 
 #include <algorithm>
-#include <ctime>
 #include <string>
 #include <utility>
 
@@ -18,14 +17,6 @@
 
 } // namespace
 
-time_point time_since_boot()
-{
-    timespec value{};
-    ::clock_gettime(CLOCK_BOOTTIME, &value);
-    return time_point(std::chrono::duration_cast<duration>(
-        std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec)));
-}
-
 pause_monitor::pause_monitor(clock now) : now_(std::move(now)), last_noted_(now_())
 {
 }
--- a/modules/carawayshelf_io/pause_monitor.hpp
+++ b/modules/carawayshelf_io/pause_monitor.hpp
@@ -1,16 +1,12 @@
 #pragma once
 
-#include "carawayshelf_core/clock_time.hpp"
+#include "carawayshelf_io/steady_time.hpp"
 
 #include <functional>
 
 namespace carawayshelf
 {
 
-/** Time since the machine started, with the time that it was suspended. The steady clock stands
-    still meanwhile. Thread-safe. */
-time_point time_since_boot();
-
 /** Notices that this process did not run for a while: it was stopped, its thread was blocked, or
     the machine was suspended. What waited in its sockets may be older than its sender's patience,
     and that the sender closed the connection may become known only later: a suspended machine gets
@@ -26,8 +22,7 @@
 
     using clock = std::function<time_point()>;
 
-    /** @param now  includes the time that the machine was suspended */
-    explicit pause_monitor(clock now = time_since_boot);
+    explicit pause_monitor(clock now = steady_now);
 
     /** Notes that the process runs. Call at least every 100 ms.
         @return  the current time */
