--- a/tests/process/backend_servers.hpp
+++ b/tests/process/backend_servers.hpp
@@ -36,6 +36,11 @@
         return at_;
     }
 
+    const std::string& id() const
+    {
+        return id_;
+    }
+
     int fd() const
     {
         return socket_.get();
--- a/tests/process/daemon_processes.hpp
+++ b/tests/process/daemon_processes.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace carawayshelf::process_tests
@@ -50,6 +51,12 @@
     daemon_processes(const daemon_processes&) = delete;
     daemon_processes& operator=(const daemon_processes&) = delete;
 
+    /** Program of the daemons that are started from now on. */
+    void set_program(std::string program)
+    {
+        program_ = std::move(program);
+    }
+
     void start_control(const machine& at, bool is_first_start);
     void start_balancer(const machine& at);
     void start_agent(const machine& at);
--- a/tests/process/deployment.hpp
+++ b/tests/process/deployment.hpp
@@ -117,6 +117,13 @@
     void remove_server();
     /** A backend server ends without an announcement. */
     void end_server();
+    /** A backend server ends without an announcement, and starts again in place after a delay: with
+        the id that it had, or with a new one. */
+    void restart_server(duration delay, bool keeps_id);
+    /** Sends a configuration without the route of the last service. */
+    void drop_route();
+    /** Sends a configuration with all routes again. */
+    void restore_route();
     /** A backend server ends without an announcement, and its address goes to another service. */
     void reuse_address();
     /** Sends the next version of the configuration. Returns whether it was acknowledged. */
@@ -166,6 +173,7 @@
     time_point started_at_;
     std::uint64_t configuration_version_ = 0;
     std::uint32_t idle_routes_ = 0;
+    bool is_route_dropped_ = false;
     int last_server_ = 0;
 };
 
--- a/tests/process/flow_judge.cpp
+++ b/tests/process/flow_judge.cpp
@@ -7,6 +7,10 @@
 
 void flow_judge::note_opened(time_point now, const packet_flow& flow, const std::string& server)
 {
+    if (dropped_routes_.count(flow.service) != 0)
+    {
+        return;
+    }
     open_flow& opened = open_[flow];
     opened = {};
     opened.server = server;
@@ -43,6 +47,20 @@
     }
 }
 
+void flow_judge::note_route_dropped(const endpoint& address)
+{
+    dropped_routes_.insert(address);
+    for (auto item = open_.begin(); item != open_.end();)
+    {
+        item = item->first.service == address ? open_.erase(item) : std::next(item);
+    }
+}
+
+void flow_judge::note_route_restored(const endpoint& address)
+{
+    dropped_routes_.erase(address);
+}
+
 void flow_judge::note_arrival(time_point now, const packet_flow& flow, const std::string& server,
                               std::uint64_t number)
 {
--- a/tests/process/flow_judge.hpp
+++ b/tests/process/flow_judge.hpp
@@ -45,6 +45,12 @@
     /** A server has ended: its flows are no longer checked. */
     void note_server_ended(const std::string& server);
 
+    /** A configuration drops the route at an address: its flows are no longer checked, nor those
+        that open before the route is restored. */
+    void note_route_dropped(const endpoint& address);
+
+    void note_route_restored(const endpoint& address);
+
     /** A packet of the client has arrived at a server.
         @param number  of the packet among those that the client sent for this flow */
     void note_arrival(time_point now, const packet_flow& flow, const std::string& server,
@@ -75,6 +81,7 @@
     };
 
     std::unordered_map<packet_flow, open_flow, packet_flow_hasher> open_;
+    std::set<endpoint> dropped_routes_;
     std::vector<fault> faults_;
     std::uint64_t opened_count_ = 0;
 };
