A search for an open flow goes on if a backend server doesn't answer

Cause: an agent that has restarted doesn't know the flows of its server, so it gives each packet of an unknown flow to the server, which returns it if it doesn't hold the flow. A server that has ended returns nothing. The search of a new balancer ended at such an agent, before it reached the flow's own; the agents before it gave each packet to their servers.

Change: from 100 ms after the first packet of a flow on, the agent passes further ones on as well, unless its server has answered. Clients retransmit after 200 ms, so that each such agent costs one retransmission.

--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -162,6 +162,7 @@
         endpoint balancer;
         time_point last_used;
         time_point busy_since;
+        time_point searching_since; ///< When the server was given its first packet.
         time_point request_sent_at; ///< When the request was given to the server; time_point()
                                     ///< between requests.
     };
@@ -222,6 +223,8 @@
     void handle_flow_packet(time_point now, const packet_envelope& envelope,
                             const packet_route& route, const client_packet& packet);
     void handle_returned_packet(time_point now, const client_packet& packet);
+    void forward_unanswered(time_point now, const packet_envelope& envelope,
+                            const packet_route& route, const client_packet& packet, flow& item);
     void deliver(const packet_envelope& envelope, const client_packet& packet);
     void forward(time_point now, packet_envelope envelope, const packet_route& route,
                  const client_packet& packet, forward_reason reason);
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -18,6 +18,10 @@
     3 ms, plus an allowance. If it doesn't, it has given up, and its slot is freed. */
 constexpr duration first_request_timeout = std::chrono::milliseconds(50);
 
+/** A backend server returns a packet of a flow that it doesn't hold in less than this. Clients
+    retransmit after 200 ms. */
+constexpr duration search_answer_timeout = std::chrono::milliseconds(100);
+
 /** An idle flow is removed after this, which is longer than the pauses of long flows, or after the
     configured timeout of idle flows plus an allowance, if that is longer. */
 constexpr duration idle_flow_lifetime = std::chrono::seconds(20);
@@ -107,6 +111,7 @@
             return;
         }
         found = flows_.emplace(packet.flow(), flow{}).first;
+        found->second.searching_since = now;
     }
     flow& item = found->second;
     item.last_used = now;
@@ -127,6 +132,21 @@
         report_holder(now, packet.flow(), item);
     }
     deliver(envelope, packet);
+    if (item.state == flow_state::searching && !is_inquiry &&
+        now - item.searching_since >= search_answer_timeout)
+    {
+        forward_unanswered(now, envelope, route, packet, item);
+    }
+}
+
+/** Also passes on a packet of a flow about which the backend server was asked in vain: the server
+    has ended, or holds the flow and has nothing to send. Otherwise the search would stop here. */
+void packet_agent::forward_unanswered(time_point now, const packet_envelope& envelope,
+                                      const packet_route& route, const client_packet& packet,
+                                      flow& item)
+{
+    item.must_report_holder = true; // The balancer may be notified that the flow is not here.
+    forward(now, envelope, route, packet, forward_reason::no_answer);
 }
 
 void packet_agent::deliver(const packet_envelope& envelope, const client_packet& packet)
--- a/modules/carawayshelf_packets/packet_counters.hpp
+++ b/modules/carawayshelf_packets/packet_counters.hpp
@@ -51,12 +51,13 @@
     full,        ///< Its backend server has no free slot.
     max_flows,   ///< Its backend server holds the maximum number of flows.
     failing,     ///< Its backend server seems to fail its requests.
-    not_here     ///< The backend server doesn't hold the flow.
+    not_here,    ///< The backend server doesn't hold the flow.
+    no_answer    ///< The backend server may not hold the flow, and has not answered for it.
 };
 
-inline constexpr name_table<forward_reason, 11> forward_reason_names{
+inline constexpr name_table<forward_reason, 12> forward_reason_names{
     {"none", "wrong_service", "no_server", "draining", "domain_out", "not_settled", "cold", "full",
-     "max_flows", "failing", "not_here"}};
+     "max_flows", "failing", "not_here", "no_answer"}};
 
 /** Counters of a packet balancer or a packet agent. Thread-safe. */
 struct packet_counters
--- a/tests/fakes/packet_simulation.hpp
+++ b/tests/fakes/packet_simulation.hpp
@@ -51,6 +51,7 @@
 {
     bool hide_other_members = false;           ///< An agent's table has no member but itself.
     bool hide_departures = false;              ///< Balancers don't learn that members left.
+    bool lose_forwarded_packets = false;       ///< Agents pass on no packets.
     bool hide_drain_from_agent = false;        ///< Announcements don't show the draining.
     bool acknowledge_drain_unrecorded = false; ///< Before control has recorded the draining.
     bool corrupt_packets = false;              ///< The content of packets in envelopes is changed.
--- a/tests/process/daemon_processes.hpp
+++ b/tests/process/daemon_processes.hpp
@@ -57,6 +57,12 @@
         program_ = std::move(program);
     }
 
+    /** Environment variables of the daemons that are started from now on, NAME=VALUE. */
+    void set_environment(std::vector<std::string> environment)
+    {
+        environment_ = std::move(environment);
+    }
+
     void start_control(const machine& at, bool is_first_start);
     void start_balancer(const machine& at);
     void start_agent(const machine& at);
@@ -81,6 +87,7 @@
     std::string program_;
     std::string folder_;
     std::string seeds_;
+    std::vector<std::string> environment_;
     std::map<std::string, pid_t> processes_;
     std::set<std::string> stopping_; ///< Daemons that were signalled to end.
 };
--- a/tests/process/deployment.cpp
+++ b/tests/process/deployment.cpp
@@ -125,6 +125,7 @@
 
 bool deployment::start()
 {
+    daemons_.set_environment(options_.environment);
     for (const machine& control : controls_)
     {
         daemons_.start_control(control, true);
--- a/tests/process/deployment.hpp
+++ b/tests/process/deployment.hpp
@@ -44,6 +44,7 @@
         duration traffic_time = std::chrono::seconds(24);
         flow_clients::options clients; ///< Of all failure domains together; the deployment sets
                                        ///< their addresses, domains and services.
+        std::vector<std::string> environment; ///< Of the daemons.
         std::uint64_t seed = 0;
     };
 
--- a/tests/process/flow_continuity.cpp
+++ b/tests/process/flow_continuity.cpp
@@ -38,6 +38,10 @@
 DEFINE_double(short_flows, 0.0, "share of flows that end after their first answer");
 DEFINE_double(late_copies, 0.02, "share of opening packets that arrive late");
 DEFINE_double(late_packets, 0.0, "share of the clients' other packets that arrive late");
+DEFINE_string(link_faults, "", "path of liblink_faults.so, for the following");
+DEFINE_uint32(link_delay_us, 0, "delay of the datagrams between daemons, and to clients");
+DEFINE_uint32(link_jitter_us, 0, "further delay, at most");
+DEFINE_uint32(link_bytes_per_s, 0, "rate of each daemon's link; 0: no limit");
 DEFINE_uint32(ports, 50000, "ports of the clients of a failure domain, used in turn");
 DEFINE_string(keep_logs, "", "folder to copy settings and logs to");
 
@@ -88,6 +92,14 @@
     options.clients.late_packet_share = FLAGS_late_packets;
     options.clients.port_count = FLAGS_ports;
     options.seed = FLAGS_seed;
+    if (!FLAGS_link_faults.empty())
+    {
+        options.environment = {"LD_PRELOAD=" +
+                                   std::filesystem::absolute(FLAGS_link_faults).string(),
+                               "LINK_DELAY_US=" + std::to_string(FLAGS_link_delay_us),
+                               "LINK_JITTER_US=" + std::to_string(FLAGS_link_jitter_us),
+                               "LINK_BYTES_PER_S=" + std::to_string(FLAGS_link_bytes_per_s)};
+    }
     return options;
 }
 
--- a/tests/process/flows.sh
+++ b/tests/process/flows.sh
@@ -56,5 +56,8 @@
 # Servers that leave live on for a while after they have announced their departure, with idle flows.
 start_run departing_servers --scenario=release,scale-in --services=despacho:7,vitrina:3 --balancers=7 \
     --client_domains --flows=600 --short_flows=0.05 --pause_seconds=10 --exit_delay_seconds=3
+# A backend server ends without an announcement, beside agents and balancers that are restarted.
+start_run ended_server --all_scenarios --seed=14 --services=despacho:7,vitrina:3 --balancers=7 \
+    --client_domains --flows=330 --short_flows=0.25 --pause_seconds=4 --exit_delay_seconds=1
 finish_runs
 exit "$failed"
--- a/tests/unit/packet_agent_test.cpp
+++ b/tests/unit/packet_agent_test.cpp
@@ -658,6 +658,37 @@
     BOOST_TEST(fixture.to_server.size() == 4U);
 }
 
+/** The search for an open flow ended at a restarted agent whose backend server had ended without an
+    announcement: no packet reached the flow's own server any more. */
+BOOST_AUTO_TEST_CASE(a_search_goes_on_if_the_server_of_a_restarted_agent_does_not_answer)
+{
+    agent_fixture fixture;
+    fixture.start();
+    fixture.envelopes.clear();
+    fixture.send(fixture.packet_of(2000, false), {own_data, other_data});
+    BOOST_TEST(fixture.to_server.size() == 1U);
+    BOOST_TEST(fixture.envelopes.empty());
+    // The client retransmits.
+    fixture.now += std::chrono::milliseconds(200);
+    fixture.send(fixture.packet_of(2000, false), {own_data, other_data});
+    BOOST_TEST(fixture.to_server.size() == 2U);
+    BOOST_REQUIRE_EQUAL(fixture.envelopes.size(), 1U);
+    BOOST_TEST((fixture.envelopes.back().to == other_data));
+    BOOST_TEST(fixture.counters.forwards.get(forward_reason::no_answer) == 1U);
+    // A balancer that remembers the flow here is told to search.
+    fixture.envelopes.clear();
+    fixture.send(fixture.packet_of(2000, false), {own_data});
+    BOOST_TEST(std::any_of(fixture.envelopes.begin(), fixture.envelopes.end(),
+                           [](const sent_envelope& sent)
+                           { return sent.envelope.kind == packet_envelope_kind::absent; }));
+    // The server holds the flow, after all.
+    fixture.answer(2000);
+    fixture.envelopes.clear();
+    fixture.send(fixture.packet_of(2000, false), {own_data, other_data});
+    BOOST_TEST(std::none_of(fixture.envelopes.begin(), fixture.envelopes.end(),
+                            [](const sent_envelope& sent) { return sent.to == other_data; }));
+}
+
 BOOST_AUTO_TEST_CASE(returned_flows_are_bounded)
 {
     const time_point start(std::chrono::seconds(1));
