The time before the first look is no pause

A control instance whose data folder takes 500 ms and more to load rejected the operators' first requests as possibly delayed: the pause was counted from its construction.

--- a/modules/carawayshelf_io/pause_monitor.cpp
+++ b/modules/carawayshelf_io/pause_monitor.cpp
@@ -17,15 +17,16 @@
 
 } // namespace
 
-pause_monitor::pause_monitor(clock now) : now_(std::move(now)), last_noted_(now_())
+pause_monitor::pause_monitor(clock now) : now_(std::move(now))
 {
 }
 
 time_point pause_monitor::note()
 {
     const time_point instant = now_();
-    const duration pause = instant - std::exchange(last_noted_, instant);
-    if (pause >= min_pause)
+    const time_point before = std::exchange(last_noted_, instant);
+    const duration pause = instant - before;
+    if (before != time_point() && pause >= min_pause)
     {
         opened_before_ = instant + accept_delay;
         affected_until_ =
