A balancer isn't told that a flow is absent because its server is slow

After a restart of an agent, a server that takes 200 ms and more for a request has not answered when the client retransmits. The packet is passed on as before, but the balancer that remembers the flow at this agent keeps sending it here. The agent that holds a flow elsewhere tells the balancer so.

--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -223,8 +223,6 @@
     void handle_flow_packet(time_point now, const packet_envelope& envelope,
                             const packet_route& route, const client_packet& packet);
     void handle_returned_packet(time_point now, const client_packet& packet);
-    void forward_unanswered(time_point now, const packet_envelope& envelope,
-                            const packet_route& route, const client_packet& packet, flow& item);
     void deliver(const packet_envelope& envelope, const client_packet& packet);
     void forward(time_point now, packet_envelope envelope, const packet_route& route,
                  const client_packet& packet, forward_reason reason);
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -135,20 +135,11 @@
     if (item.state == flow_state::searching && !is_inquiry &&
         now - item.searching_since >= search_answer_timeout)
     {
-        forward_unanswered(now, envelope, route, packet, item);
+        // The server has ended, or it holds the flow and has nothing to send yet.
+        forward(now, envelope, route, packet, forward_reason::no_answer);
     }
 }
 
-/** Also passes on a packet of a flow about which the backend server was asked in vain: the server
-    has ended, or holds the flow and has nothing to send. Otherwise the search would stop here. */
-void packet_agent::forward_unanswered(time_point now, const packet_envelope& envelope,
-                                      const packet_route& route, const client_packet& packet,
-                                      flow& item)
-{
-    item.must_report_holder = true; // The balancer may be notified that the flow is not here.
-    forward(now, envelope, route, packet, forward_reason::no_answer);
-}
-
 void packet_agent::deliver(const packet_envelope& envelope, const client_packet& packet)
 {
     format_.set_mark(packet.data, delivered_envelopes_.add(envelope));
@@ -238,7 +229,8 @@
         forward_opening(now, envelope, route, packet);
         return;
     }
-    if (envelope.position == 0 && envelope.candidate_count == 1)
+    if (envelope.position == 0 && envelope.candidate_count == 1 &&
+        reason != forward_reason::no_answer)
     {
         // The balancer has the flow in its cache at this agent.
         notify_balancer(now, packet_envelope_kind::absent, packet.flow(), envelope.balancer);
