--- a/modules/carawayshelf_io/control_server.hpp
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -68,7 +68,7 @@
     void set_domain_out(const std::string& domain, bool out, caller_check is_caller_waiting,
                         operator_result_handler done) override;
 
-    /** Notes that this instance runs whenever it does periodic work. */
+    /** Pauses of this instance, which its periodic work notes. */
     pause_monitor& pauses()
     {
         return pauses_;
@@ -167,8 +167,8 @@
     {
         buffers::request_object request;
         caller_check is_caller_waiting;
-        bool is_order =
-            false; ///< Of an operator; not proposed by a leader that checks no position.
+        /** From an operator: not forwarded to a leader that checks no positions. */
+        bool is_order = false;
         reply_handler done;
         int attempts = 0;
     };
@@ -219,7 +219,7 @@
     cluster_state state_;
     membership_manager membership_;
     order_fence order_fence_;
-    std::set<instance_slot> slots_checking_positions_; ///< Others' builds do so as leaders.
+    std::set<instance_slot> slots_checking_positions_; ///< Of other instances.
     pause_monitor pauses_;
     lease_table leases_;
     restart_state_store restart_states_;
--- a/modules/carawayshelf_io/control_server_requests.cpp
+++ b/modules/carawayshelf_io/control_server_requests.cpp
@@ -200,8 +200,9 @@
     }
     if (!request.known)
     {
-        // Forwarded by an instance of an older version. It can't tell how long an order has waited.
-        // A repeated announcement changes nothing, and its sender repeats it to nobody else.
+        // Forwarded by an instance of an older version, which doesn't tell how long a request has
+        // waited. An announcement is accepted: its agent stays with that instance, and would not be
+        // registered otherwise.
         const bool is_accepted = std::holds_alternative<announce_member>(edit);
         if (!is_accepted)
         {
--- a/modules/carawayshelf_io/pause_monitor.hpp
+++ b/modules/carawayshelf_io/pause_monitor.hpp
@@ -36,7 +36,7 @@
 
 private:
     clock now_;
-    time_point last_noted_; ///< time_point() before the first time.
+    time_point last_noted_;     ///< time_point() before the first time.
     time_point opened_before_;  ///< Connections opened until then are affected.
     time_point affected_until_; ///< Requests read until then are affected.
 };
