--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -226,6 +226,16 @@
     BOOST_TEST(!pauses.may_have_waited(opened_at));
 }
 
+/** A control instance that took long to load its data rejected the first requests of operators. */
+BOOST_AUTO_TEST_CASE(the_time_before_the_first_look_is_no_pause)
+{
+    time_point instant{std::chrono::seconds(1000)};
+    pause_monitor pauses([&instant] { return instant; });
+    instant += std::chrono::seconds(6);
+    const time_point opened_at = pauses.note();
+    BOOST_TEST(!pauses.may_have_waited(opened_at));
+}
+
 /** A second, shorter pause does not end the doubt that the first one left. */
 BOOST_AUTO_TEST_CASE(the_longest_doubt_counts)
 {
