--- a/review/standins-2/site.hpp
+++ b/review/standins-2/site.hpp
@@ -211,10 +211,13 @@
                   "\nport = " + std::to_string(port_internal) +
                   "\nfirst_start = " + (is_first ? "true" : "false") + "\norders_address = " + ip + ":" +
                   std::to_string(port_control_plane) + "\ndomains = zone-a,zone-b,zone-c\ndata_folder = " +
-                  folder_ + "/data-" + std::to_string(i) + "\n[metrics]\naddress = " + ip + ":" +
+                  folder_ + "/data-" + std::to_string(i) + "-" + std::to_string(disks_[i]) + "\n[metrics]\naddress = " + ip + ":" +
                   std::to_string(port_metrics) + "\n");
     }
 
+    /** The next start of a control instance finds an empty data folder. */
+    void lose_disk(int i) { ++disks_[i]; }
+
     void start_balancer(int i)
     {
         const std::string ip = address(network_, 2, i);
@@ -307,6 +310,7 @@
     std::string folder_;
     std::string seeds_;
     std::map<std::string, pid_t> pids_;
+    std::map<int, int> disks_; ///< Number of the disk of each control instance.
 };
 
 constexpr std::uint8_t flag_rst = 2;
