Review: case 10, a planned replacement and one lost disk end the control cluster

Tried: three control instances, a successor for the first one, then the loss of one disk 0.6 s after the first one was stopped (script).

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# A control instance is replaced by another one as planned; then one of the others loses its disk. TROUBLE=0: neither.
+# Exits with 1 if the acknowledged configuration can not be read afterwards, 0 if it can, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/carawayshelf ] && [ -x target/review-2/replaced_and_lost ] || exit 2
+exec timeout 110 target/review-2/replaced_and_lost target/carawayshelf review/10/record.txt
