--- a/review/standins-2/agents_restart.cpp
+++ b/review/standins-2/agents_restart.cpp
@@ -42,9 +42,12 @@
     const std::string route = address(network, 9, 1);
     const std::string configuration =
         "{\"version\":1,\"routes\":[{\"name\":\"r1\",\"hostname\":\"" + route +
-        "\",\"path_prefix\":\"/8443/\",\"route_type\":\"idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":500,"
-        "\"priority\":2,\"backend\":\"despacho\",\"max_attempts\":2}],\"services\":[{\"name\":\"despacho\","
-        "\"health_path\":\"/health\",\"max_connections\":2000,\"protocol\":\"h1\",\"tls\":false,\"warmup_s\":2.0,"
+        "\",\"path_prefix\":\"/8443/"
+        "\",\"route_type\":\"idempotent\",\"timeout_ms\":3000,\"target_latency_ms\":500,"
+        "\"priority\":2,\"backend\":\"despacho\",\"max_attempts\":2}],\"services\":[{\"name\":"
+        "\"despacho\","
+        "\"health_path\":\"/"
+        "health\",\"max_connections\":2000,\"protocol\":\"h1\",\"tls\":false,\"warmup_s\":2.0,"
         "\"warmup_per_s\":0.0}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,"
         "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
     if (order(network, controls, "/carawayshelf/Config.Replace", configuration) != 200)
@@ -108,7 +111,8 @@
         run_for(60);
     }
     run_for(1000);
-    log.write(std::to_string(users.open_ports().size()) + " of " + std::to_string(flows) + " flows are open");
+    log.write(std::to_string(users.open_ports().size()) + " of " + std::to_string(flows) +
+              " flows are open");
     if (users.open_ports().size() < flows / 2)
     {
         return 2;
--- a/review/standins-2/disks_lost.cpp
+++ b/review/standins-2/disks_lost.cpp
@@ -1,5 +1,5 @@
-// Five control instances. Two are without power for 7 s; meanwhile two of the others lose their disks.
-// Then all are back, and the operator reads the configuration that was acknowledged last.
+// Five control instances. Two are without power for 7 s; meanwhile two of the others lose their
+// disks. Then all are back, and the operator reads the configuration that was acknowledged last.
 //   disks_lost PROGRAM RECORD    exits with 0, 1 (broken) or 2 (could not run)
 // ONLY=power or ONLY=disks leaves the other disruption out.
 #include "site.hpp"
@@ -16,12 +16,14 @@
 
 std::string configuration(int network, int version)
 {
-    return "{\"version\":" + std::to_string(version) + ",\"routes\":[{\"name\":\"r1\",\"hostname\":\"" +
-           address(network, 9, 1) +
+    return "{\"version\":" + std::to_string(version) +
+           ",\"routes\":[{\"name\":\"r1\",\"hostname\":\"" + address(network, 9, 1) +
            "\",\"path_prefix\":\"/8443/\",\"route_type\":\"idempotent\",\"timeout_ms\":" +
            std::to_string(3000 + version) +
-           ",\"target_latency_ms\":500,\"priority\":2,\"backend\":\"despacho\",\"max_attempts\":2}],"
-           "\"services\":[{\"name\":\"despacho\",\"health_path\":\"/health\",\"max_connections\":2000,"
+           ",\"target_latency_ms\":500,\"priority\":2,\"backend\":\"despacho\",\"max_attempts\":2}]"
+           ","
+           "\"services\":[{\"name\":\"despacho\",\"health_path\":\"/"
+           "health\",\"max_connections\":2000,"
            "\"protocol\":\"h1\",\"tls\":false,\"warmup_s\":2.0,\"warmup_per_s\":0.0}],\"limits\":{"
            "\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,"
            "\"idle_timeout_ms\":15000}}";
@@ -53,9 +55,10 @@
     int acknowledged = 0;
     const auto replace = [&](int version)
     {
-        const int status =
-            order(network, controls, "/carawayshelf/Config.Replace", configuration(network, version));
-        log.write("configuration " + std::to_string(version) + " is answered with " + std::to_string(status));
+        const int status = order(network, controls, "/carawayshelf/Config.Replace",
+                                 configuration(network, version));
+        log.write("configuration " + std::to_string(version) + " is answered with " +
+                  std::to_string(status));
         acknowledged = status == 200 ? version : acknowledged;
     };
     replace(1);
@@ -146,14 +149,15 @@
     log.write(is_broken ? "BROKEN: configuration " + std::to_string(acknowledged) +
                               " was acknowledged and can't be read any more"
                         : "kept");
-    const int status = order(network, controls, "/carawayshelf/Config.Replace", configuration(network, 9), 10);
+    const int status =
+        order(network, controls, "/carawayshelf/Config.Replace", configuration(network, 9), 10);
     log.write("a later configuration is answered with " + std::to_string(status));
     const std::vector<std::string> ended = site.ended();
     for (const std::string& name : ended)
     {
         log.write(name + " has ended by itself");
     }
-    std::cout << "reads after recovery_s: newest " << good << ", older " << old << ", none or 5xx " << none
-              << "; acknowledged " << acknowledged << "\n";
+    std::cout << "reads after recovery_s: newest " << good << ", older " << old << ", none or 5xx "
+              << none << "; acknowledged " << acknowledged << "\n";
     return is_broken || !ended.empty() ? 1 : 0;
 }
--- a/review/standins-2/replaced_and_lost.cpp
+++ b/review/standins-2/replaced_and_lost.cpp
@@ -1,5 +1,5 @@
-// Three control instances. A fourth one is started in place of the first, which is stopped for good after
-// catch_up_s; within a second another one acknowledges a configuration and loses its disk.
+// Three control instances. A fourth one is started in place of the first, which is stopped for good
+// after catch_up_s; within a second another one acknowledges a configuration and loses its disk.
 //   replaced_and_lost PROGRAM RECORD    exits with 0, 1 (broken) or 2 (could not run)
 // ONLY=replace or ONLY=disk leaves the other disruption out. WAIT_MS: between the two (600).
 #include "site.hpp"
@@ -16,12 +16,14 @@
 
 std::string configuration(int network, int version)
 {
-    return "{\"version\":" + std::to_string(version) + ",\"routes\":[{\"name\":\"r1\",\"hostname\":\"" +
-           address(network, 9, 1) +
+    return "{\"version\":" + std::to_string(version) +
+           ",\"routes\":[{\"name\":\"r1\",\"hostname\":\"" + address(network, 9, 1) +
            "\",\"path_prefix\":\"/8443/\",\"route_type\":\"idempotent\",\"timeout_ms\":" +
            std::to_string(3000 + version) +
-           ",\"target_latency_ms\":500,\"priority\":2,\"backend\":\"despacho\",\"max_attempts\":2}],"
-           "\"services\":[{\"name\":\"despacho\",\"health_path\":\"/health\",\"max_connections\":2000,"
+           ",\"target_latency_ms\":500,\"priority\":2,\"backend\":\"despacho\",\"max_attempts\":2}]"
+           ","
+           "\"services\":[{\"name\":\"despacho\",\"health_path\":\"/"
+           "health\",\"max_connections\":2000,"
            "\"protocol\":\"h1\",\"tls\":false,\"warmup_s\":2.0,\"warmup_per_s\":0.0}],\"limits\":{"
            "\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,"
            "\"idle_timeout_ms\":15000}}";
@@ -111,20 +113,21 @@
         }
         std::this_thread::sleep_for(milliseconds(500));
     }
-    log.write("reads after recovery_s: newest " + std::to_string(good) + ", older " + std::to_string(old) +
-              ", none or 5xx " + std::to_string(none));
+    log.write("reads after recovery_s: newest " + std::to_string(good) + ", older " +
+              std::to_string(old) + ", none or 5xx " + std::to_string(none));
     const bool is_broken = good == 0 || old != 0;
     log.write(is_broken ? "BROKEN: configuration " + std::to_string(acknowledged) +
                               " was acknowledged and can't be read any more"
                         : "kept");
-    const int status = order(network, controls, "/carawayshelf/Config.Replace", configuration(network, 9), 12);
+    const int status =
+        order(network, controls, "/carawayshelf/Config.Replace", configuration(network, 9), 12);
     log.write("a later configuration is answered with " + std::to_string(status));
     const std::vector<std::string> ended = site.ended();
     for (const std::string& name : ended)
     {
         log.write(name + " has ended by itself");
     }
-    std::cout << "reads after recovery_s: newest " << good << ", older " << old << ", none or 5xx " << none
-              << "; acknowledged " << acknowledged << "\n";
+    std::cout << "reads after recovery_s: newest " << good << ", older " << old << ", none or 5xx "
+              << none << "; acknowledged " << acknowledged << "\n";
     return is_broken || !ended.empty() ? 1 : 0;
 }
--- a/review/standins-2/site.hpp
+++ b/review/standins-2/site.hpp
@@ -1,6 +1,6 @@
-// Stand-ins of the users' platform for the scripts of this review: the daemons as separate processes
-// with the settings that the deploy file's templates give, backend servers, clients and routers that
-// follow PROTOCOL.md. Linux sockets and the C++ library only.
+// Stand-ins of the users' platform for the scripts of this review: the daemons as separate
+// processes with the settings that the deploy file's templates give, backend servers, clients and
+// routers that follow PROTOCOL.md. Linux sockets and the C++ library only.
 #pragma once
 
 #include <arpa/inet.h>
@@ -51,7 +51,8 @@
 
 inline std::string address(int network, int group, int number)
 {
-    return "127." + std::to_string(network) + "." + std::to_string(group) + "." + std::to_string(number);
+    return "127." + std::to_string(network) + "." + std::to_string(group) + "." +
+           std::to_string(number);
 }
 
 inline sockaddr_in to_sockaddr(const std::string& ip, std::uint16_t port)
@@ -82,7 +83,9 @@
 class record
 {
 public:
-    explicit record(const std::string& file) : out_(file), began_(clock_type::now()) {}
+    explicit record(const std::string& file) : out_(file), began_(clock_type::now())
+    {
+    }
 
     void write(const std::string& line)
     {
@@ -107,15 +110,17 @@
 
 /** One HTTP request on a connection of its own, which is closed at the time-out. */
 inline http_answer call_http(const std::string& ip, std::uint16_t port, const std::string& method,
-                             const std::string& path, const std::string& body, int timeout_ms = 1000)
+                             const std::string& path, const std::string& body,
+                             int timeout_ms = 1000)
 {
     http_answer answer;
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     const sockaddr_in to = to_sockaddr(ip, port);
     ::connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
-    std::string out = method + " " + path + " HTTP/1.1\r\nHost: " + ip + ":" + std::to_string(port) +
-                      "\r\nContent-Type: application/json\r\nContent-Length: " +
-                      std::to_string(body.size()) + "\r\n\r\n" + body;
+    std::string out =
+        method + " " + path + " HTTP/1.1\r\nHost: " + ip + ":" + std::to_string(port) +
+        "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+        "\r\n\r\n" + body;
     std::string in;
     const instant end = clock_type::now() + milliseconds(timeout_ms);
     for (;;)
@@ -176,7 +181,8 @@
         folder_ = ::mkdtemp(name);
         for (int i = 1; i <= seeds; ++i)
         {
-            seeds_ += (i == 1 ? "" : ",") + address(network, 1, i) + ":" + std::to_string(port_control_plane);
+            seeds_ += (i == 1 ? "" : ",") + address(network, 1, i) + ":" +
+                      std::to_string(port_control_plane);
         }
     }
 
@@ -198,46 +204,78 @@
         }
     }
 
-    const std::string& folder() const { return folder_; }
+    const std::string& folder() const
+    {
+        return folder_;
+    }
 
     /** Zones of machine i, from 1. */
-    static std::string zone(int i) { return std::string("zone-") + static_cast<char>('a' + (i - 1) % 3); }
+    static std::string zone(int i)
+    {
+        return std::string("zone-") + static_cast<char>('a' + (i - 1) % 3);
+    }
 
     void start_control(int i, bool is_first)
     {
         const std::string ip = address(network_, 1, i);
         start("control-" + std::to_string(i), "control",
-              "[control]\naddress = " + ip + ":" + std::to_string(port_internal) + "\nseeds = " + seeds_ +
-                  "\nport = " + std::to_string(port_internal) +
-                  "\nfirst_start = " + (is_first ? "true" : "false") + "\norders_address = " + ip + ":" +
-                  std::to_string(port_control_plane) + "\ndomains = zone-a,zone-b,zone-c\ndata_folder = " +
-                  folder_ + "/data-" + std::to_string(i) + "-" + std::to_string(disks_[i]) + "\n[metrics]\naddress = " + ip + ":" +
-                  std::to_string(port_metrics) + "\n");
+              "[control]\naddress = " + ip + ":" + std::to_string(port_internal) +
+                  "\nseeds = " + seeds_ + "\nport = " + std::to_string(port_internal) +
+                  "\nfirst_start = " + (is_first ? "true" : "false") + "\norders_address = " + ip +
+                  ":" + std::to_string(port_control_plane) +
+                  "\ndomains = zone-a,zone-b,zone-c\ndata_folder = " + folder_ + "/data-" +
+                  std::to_string(i) + "-" + std::to_string(disks_[i]) +
+                  "\n[metrics]\naddress = " + ip + ":" + std::to_string(port_metrics) + "\n");
+    }
+
+    /** Writes other seeds into the settings files of the daemons named, and sends them SIGHUP. */
+    void change_seeds(const std::vector<int>& seeds, const std::vector<std::string>& names)
+    {
+        const std::string before = seeds_;
+        seeds_.clear();
+        for (const int i : seeds)
+        {
+            seeds_ += (seeds_.empty() ? "" : ",") + address(network_, 1, i) + ":" +
+                      std::to_string(port_control_plane);
+        }
+        for (const std::string& name : names)
+        {
+            const std::string file = folder_ + "/" + name + ".ini";
+            std::stringstream text;
+            text << std::ifstream(file).rdbuf();
+            std::string settings = text.str();
+            settings.replace(settings.find(before), before.size(), seeds_);
+            std::ofstream(file) << settings;
+            ::kill(pids_.at(name), SIGHUP);
+        }
     }
 
     /** The next start of a control instance finds an empty data folder. */
-    void lose_disk(int i) { ++disks_[i]; }
+    void lose_disk(int i)
+    {
+        ++disks_[i];
+    }
 
     void start_balancer(int i)
     {
         const std::string ip = address(network_, 2, i);
         start("balancer-" + std::to_string(i), "balancer",
-              "[balancer]\nflows = packets\nname = edge-" + std::to_string(i) + "\ndomain = " + zone(i) +
-                  "\ndata_address = " + ip + ":" + std::to_string(port_internal) + "\nentry = " + ip + ":" +
-                  std::to_string(port_datagram) + "\nready_address = " + ip + ":" +
-                  std::to_string(port_ready) + "\n" + common(ip));
+              "[balancer]\nflows = packets\nname = edge-" + std::to_string(i) + "\ndomain = " +
+                  zone(i) + "\ndata_address = " + ip + ":" + std::to_string(port_internal) +
+                  "\nentry = " + ip + ":" + std::to_string(port_datagram) +
+                  "\nready_address = " + ip + ":" + std::to_string(port_ready) + "\n" + common(ip));
     }
 
     void start_agent(int i, const std::string& service)
     {
         const std::string ip = address(network_, 4, i);
         start("agent-" + std::to_string(i), "agent",
-              "[agent]\nflows = packets\nname = side-" + std::to_string(i) + "\ndomain = " + zone(i) +
-                  "\ndata_address = " + ip + ":" + std::to_string(port_datagram) + "\nannounce_address = " + ip +
-                  ":" + std::to_string(port_control_plane) + "\nservice = " + service + "\nserver = " + ip +
-                  ":" + std::to_string(port_app) + "\nserver_side = " + ip + ":" +
-                  std::to_string(port_outbound) + "\nready_address = " + ip + ":" +
-                  std::to_string(port_ready) +
+              "[agent]\nflows = packets\nname = side-" + std::to_string(i) + "\ndomain = " +
+                  zone(i) + "\ndata_address = " + ip + ":" + std::to_string(port_datagram) +
+                  "\nannounce_address = " + ip + ":" + std::to_string(port_control_plane) +
+                  "\nservice = " + service + "\nserver = " + ip + ":" + std::to_string(port_app) +
+                  "\nserver_side = " + ip + ":" + std::to_string(port_outbound) +
+                  "\nready_address = " + ip + ":" + std::to_string(port_ready) +
                   "\nannounce_ms = 770\nshortage = refuse\nended_sessions = reset\n" + common(ip));
     }
 
@@ -333,13 +371,19 @@
     std::uint32_t sum = 0;
     std::string data;
 
-    bool has(std::uint8_t flag) const { return (flags & flag) != 0; }
+    bool has(std::uint8_t flag) const
+    {
+        return (flags & flag) != 0;
+    }
 
     /** A sum over all fields but echo, pad and BOUNCED; its key stays here. */
     std::uint32_t right_sum() const
     {
         std::uint32_t hash = 0x9E3779B9;
-        const auto mix = [&hash](std::uint32_t value) { hash = (hash ^ value) * 16777619U + 0x5BD1; };
+        const auto mix = [&hash](std::uint32_t value)
+        {
+            hash = (hash ^ value) * 16777619U + 0x5BD1;
+        };
         mix(seq);
         mix(ack);
         mix(flags & ~flag_bounced & 0xFFU);
@@ -423,7 +467,10 @@
                std::tie(other.client, other.client_port, other.route, other.route_port);
     }
 
-    std::string text() const { return "client port " + std::to_string(client_port); }
+    std::string text() const
+    {
+        return "client port " + std::to_string(client_port);
+    }
 };
 
 class udp_socket
@@ -441,16 +488,23 @@
             std::exit(2);
         }
     }
-    ~udp_socket() { ::close(fd_); }
+    ~udp_socket()
+    {
+        ::close(fd_);
+    }
     udp_socket(const udp_socket&) = delete;
     udp_socket& operator=(const udp_socket&) = delete;
 
-    int fd() const { return fd_; }
+    int fd() const
+    {
+        return fd_;
+    }
 
     void send(const std::string& ip, std::uint16_t port, const std::string& bytes) const
     {
         const sockaddr_in to = to_sockaddr(ip, port);
-        ::sendto(fd_, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&to), sizeof(to));
+        ::sendto(fd_, bytes.data(), bytes.size(), 0, reinterpret_cast<const sockaddr*>(&to),
+                 sizeof(to));
     }
 
     bool receive(std::string& bytes) const
@@ -469,8 +523,8 @@
     int fd_ = -1;
 };
 
-/** One end of a flow: bytes in order, ACK for every second packet, retransmissions after 200 ms that
-    double up to 1.6 s. */
+/** One end of a flow: bytes in order, ACK for every second packet, retransmissions after 200 ms
+   that double up to 1.6 s. */
 struct stream_end
 {
     std::uint32_t next_in = 0;  ///< Next byte expected.
@@ -495,8 +549,8 @@
         while (!unacknowledged.empty())
         {
             const outgoing& first = unacknowledged.front();
-            const std::uint32_t end =
-                first.seq + static_cast<std::uint32_t>(first.data.size()) + ((first.flags & flag_fin) != 0);
+            const std::uint32_t end = first.seq + static_cast<std::uint32_t>(first.data.size()) +
+                                      ((first.flags & flag_fin) != 0);
             if (static_cast<std::int32_t>(in.ack - end) < 0)
             {
                 break;
@@ -554,10 +608,10 @@
 public:
     server(int network, int number, std::string service, record& log)
         : ip_(address(network, 4, number)), name_("server-" + std::to_string(number)),
-          zone_(daemons::zone(number)), service_(std::move(service)), log_(log), socket_(ip_, port_app),
-          born_(std::chrono::duration_cast<milliseconds>(
-                    std::chrono::system_clock::now().time_since_epoch())
-                    .count())
+          zone_(daemons::zone(number)), service_(std::move(service)), log_(log),
+          socket_(ip_, port_app), born_(std::chrono::duration_cast<milliseconds>(
+                                            std::chrono::system_clock::now().time_since_epoch())
+                                            .count())
     {
         listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         const int on = 1;
@@ -575,8 +629,14 @@
         ::close(listener_);
     }
 
-    int fd() const { return socket_.fd(); }
-    const std::string& name() const { return name_; }
+    int fd() const
+    {
+        return socket_.fd();
+    }
+    const std::string& name() const
+    {
+        return name_;
+    }
 
     /** Whether the server holds the flow, opened by the end of its handshake. */
     bool holds(const flow_key& key) const
@@ -585,8 +645,14 @@
         return found != flows_.end() && found->second.is_open;
     }
 
-    std::size_t open_flows() const { return flows_.size(); }
-    int forged() const { return forged_; }
+    std::size_t open_flows() const
+    {
+        return flows_.size();
+    }
+    int forged() const
+    {
+        return forged_;
+    }
 
     void run(instant now)
     {
@@ -693,7 +759,8 @@
             if (waiting_.size() >= 8)
             {
                 log_.write(name_ + " sheds request " + added.number);
-                item.end.queue("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", now);
+                item.end.queue("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                               now);
                 continue;
             }
             waiting_.push_back(added);
@@ -708,9 +775,10 @@
         if (found != flows_.end())
         {
             const std::string body = "done " + done.number;
-            found->second.end.queue("HTTP/1.1 200 OK\r\nServer-Stamp: " + name_ + "-" + done.number +
-                                        "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
-                                    now);
+            found->second.end.queue(
+                "HTTP/1.1 200 OK\r\nServer-Stamp: " + name_ + "-" + done.number +
+                    "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
+                now);
         }
     }
 
@@ -736,12 +804,14 @@
         while (!is_stopping_)
         {
             const instant due = clock_type::now() + milliseconds(770);
-            const std::string body = "{\"backend\":\"" + service_ + "\",\"address\":\"" + ip_ + ":" +
-                                     std::to_string(port_app) + "\",\"zone\":\"" + zone_ +
-                                     "\",\"version\":\"v1\",\"capacity_slots\":2,\"state\":\"ready\"," +
-                                     "\"warmup_left_ms\":0,\"seq\":" + std::to_string(++seq) +
-                                     ",\"born\":" + std::to_string(born_) + "}";
-            call_http(ip_, port_control_plane, "POST", "/carawayshelf/Instances.Heartbeat/i-" + name_, body);
+            const std::string body =
+                "{\"backend\":\"" + service_ + "\",\"address\":\"" + ip_ + ":" +
+                std::to_string(port_app) + "\",\"zone\":\"" + zone_ +
+                "\",\"version\":\"v1\",\"capacity_slots\":2,\"state\":\"ready\"," +
+                "\"warmup_left_ms\":0,\"seq\":" + std::to_string(++seq) +
+                ",\"born\":" + std::to_string(born_) + "}";
+            call_http(ip_, port_control_plane, "POST",
+                      "/carawayshelf/Instances.Heartbeat/i-" + name_, body);
             while (!is_stopping_ && clock_type::now() < due)
             {
                 std::this_thread::sleep_for(milliseconds(10));
@@ -783,10 +853,14 @@
     {
     }
 
-    int fd() const { return socket_.fd(); }
+    int fd() const
+    {
+        return socket_.fd();
+    }
 
     /** Opens a flow to a route, and sends a first request in it. */
-    void open(std::uint16_t port, const std::string& route_ip, std::uint16_t route_port, int work_ms)
+    void open(std::uint16_t port, const std::string& route_ip, std::uint16_t route_port,
+              int work_ms)
     {
         flow& added = flows_[port];
         added.key = {ip_number(ip_), port, ip_number(route_ip), route_port};
@@ -803,8 +877,8 @@
         item.request = std::to_string(++last_request_);
         item.is_waiting = true;
         log_.write(item.key.text() + " sends request " + item.request);
-        item.end.queue("GET /" + item.request + "/" + std::to_string(work_ms) + " HTTP/1.1\r\nHost: x\r\nRequest-Id: " +
-                           item.request + "\r\n\r\n",
+        item.end.queue("GET /" + item.request + "/" + std::to_string(work_ms) +
+                           " HTTP/1.1\r\nHost: x\r\nRequest-Id: " + item.request + "\r\n\r\n",
                        clock_type::now());
     }
 
@@ -821,6 +895,20 @@
         return ports;
     }
 
+    /** Ports of the open flows whose last request is answered. */
+    std::vector<std::uint16_t> idle_ports() const
+    {
+        std::vector<std::uint16_t> ports;
+        for (const auto& [port, item] : flows_)
+        {
+            if (item.is_open && !item.is_over && !item.is_waiting)
+            {
+                ports.push_back(port);
+            }
+        }
+        return ports;
+    }
+
     std::size_t waiting() const
     {
         std::size_t count = 0;
@@ -831,8 +919,14 @@
         return count;
     }
 
-    int answered() const { return answered_; }
-    int failed() const { return failed_; }
+    int answered() const
+    {
+        return answered_;
+    }
+    int failed() const
+    {
+        return failed_;
+    }
 
     /** Called with each reset of the system's own that an open flow gets. */
     std::function<void(const flow_key&, const std::string& request)> on_reset;
@@ -860,8 +954,9 @@
                 continue;
             }
             flow& current = item;
-            current.end.send_due(now, [&](const stream_end::outgoing& out)
-                                 { send(current, out.flags, out.seq, current.end.next_in, out.data); });
+            current.end.send_due(
+                now, [&](const stream_end::outgoing& out)
+                { send(current, out.flags, out.seq, current.end.next_in, out.data); });
         }
     }
 
@@ -909,9 +1004,11 @@
         {
             item.is_over = true;
             ++failed_;
-            log_.write(item.key.text() + (in.sum == 0 ? " gets a reset of the system, " : " gets a reset of a server, ") +
-                       (item.is_open ? "its flow is open" : "its flow is not open") +
-                       (item.is_waiting ? ", request " + item.request + " has no answer" : ""));
+            log_.write(
+                item.key.text() +
+                (in.sum == 0 ? " gets a reset of the system, " : " gets a reset of a server, ") +
+                (item.is_open ? "its flow is open" : "its flow is not open") +
+                (item.is_waiting ? ", request " + item.request + " has no answer" : ""));
             if (in.sum == 0 && item.is_open && on_reset)
             {
                 on_reset(item.key, item.is_waiting ? item.request : "");
@@ -942,7 +1039,8 @@
             return;
         }
         const std::size_t field = item.end.received.find("Content-Length: ");
-        const std::size_t length = std::strtoul(item.end.received.c_str() + field + 16, nullptr, 10);
+        const std::size_t length =
+            std::strtoul(item.end.received.c_str() + field + 16, nullptr, 10);
         if (item.end.received.size() >= head + 4 + length)
         {
             log_.write(item.key.text() + " gets the answer to request " + item.request + ": " +
@@ -954,7 +1052,8 @@
         static_cast<void>(now);
     }
 
-    void send(const flow& item, std::uint8_t flags, std::uint32_t seq, std::uint32_t ack, const std::string& data)
+    void send(const flow& item, std::uint8_t flags, std::uint32_t seq, std::uint32_t ack,
+              const std::string& data)
     {
         packet out;
         out.seq = seq;
@@ -981,13 +1080,15 @@
     int failed_ = 0;
 };
 
-/** Sends an order to the control instances in turn until one answers clearly, as the operator does. */
-inline int order(int network, int controls, const std::string& path, const std::string& body, int tries = 40)
+/** Sends an order to the control instances in turn until one answers clearly, as the operator does.
+ */
+inline int order(int network, int controls, const std::string& path, const std::string& body,
+                 int tries = 40)
 {
     for (int i = 0; i < tries; ++i)
     {
-        const http_answer answer =
-            call_http(address(network, 1, 1 + i % controls), port_control_plane, "POST", path, body);
+        const http_answer answer = call_http(address(network, 1, 1 + i % controls),
+                                             port_control_plane, "POST", path, body);
         if (answer.status >= 200 && answer.status < 500)
         {
             return answer.status;
@@ -1007,7 +1108,9 @@
 {
     for (int i = 0; i < 60; ++i)
     {
-        const int network = 100 + static_cast<int>((static_cast<unsigned>(::getpid()) + static_cast<unsigned>(i)) % 120U);
+        const int network =
+            100 +
+            static_cast<int>((static_cast<unsigned>(::getpid()) + static_cast<unsigned>(i)) % 120U);
         if (is_network_free(network))
         {
             return network;
