--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,7 @@
 # Exits with 1 if the acknowledged configuration can not be read afterwards, 0 if it can, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/carawayshelf ] && [ -x target/review-2/replaced_and_lost ] || exit 2
-exec timeout 110 target/review-2/replaced_and_lost target/carawayshelf review/10/record.txt
+timeout --kill-after=2 115 target/review-2/replaced_and_lost target/carawayshelf review/10/record.txt
+code=$?
+[ "$code" -le 1 ] && exit "$code"
+exit 2
