--- a/review/standins-2/agents_restart.cpp
+++ b/review/standins-2/agents_restart.cpp
@@ -24,7 +24,7 @@
         return 2;
     }
     const bool trouble = has_trouble();
-    daemons site(arguments[1], network, controls);
+    daemons site(arguments[1], network, controls, log);
     for (int i = 1; i <= controls; ++i)
     {
         site.start_control(i, true);
--- a/review/standins-2/all_replaced.cpp
+++ b/review/standins-2/all_replaced.cpp
@@ -39,7 +39,7 @@
         return 2;
     }
     const bool trouble = has_trouble();
-    daemons site(arguments[1], network, old_controls);
+    daemons site(arguments[1], network, old_controls, log);
     for (int i = 1; i <= old_controls; ++i)
     {
         site.start_control(i, true);
--- a/review/standins-2/disks_lost.cpp
+++ b/review/standins-2/disks_lost.cpp
@@ -47,7 +47,7 @@
     const char* const only = std::getenv("ONLY");
     const bool has_power = has_trouble() && (only == nullptr || std::string(only) == "power");
     const bool has_disks = has_trouble() && (only == nullptr || std::string(only) == "disks");
-    daemons site(arguments[1], network, seeds);
+    daemons site(arguments[1], network, seeds, log);
     for (int i = 1; i <= controls; ++i)
     {
         site.start_control(i, true);
--- a/review/standins-2/old_leader.cpp
+++ b/review/standins-2/old_leader.cpp
@@ -27,7 +27,7 @@
         return 2;
     }
     const bool trouble = has_trouble();
-    daemons site(arguments[1], network, controls);
+    daemons site(arguments[1], network, controls, log);
     const instant began = clock_type::now();
     for (int i = 1; i <= controls; ++i)
     {
--- a/review/standins-2/replaced_and_lost.cpp
+++ b/review/standins-2/replaced_and_lost.cpp
@@ -43,7 +43,7 @@
     const char* const wait = std::getenv("WAIT_MS");
     const bool has_replace = has_trouble() && (only == nullptr || std::string(only) == "replace");
     const bool has_disk = has_trouble() && (only == nullptr || std::string(only) == "disk");
-    daemons site(arguments[1], network, seeds);
+    daemons site(arguments[1], network, seeds, log);
     for (int i = 1; i <= seeds; ++i)
     {
         site.start_control(i, true);
--- a/review/standins-2/site.hpp
+++ b/review/standins-2/site.hpp
@@ -22,6 +22,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <deque>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -72,11 +73,27 @@
 /** Whether nothing is bound to the addresses of a network number yet. */
 inline bool is_network_free(int network)
 {
-    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in at = to_sockaddr(address(network, 1, 1), port_internal);
-    const bool is_free = ::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof(at)) == 0;
-    ::close(fd);
-    return is_free;
+    const struct
+    {
+        int group;
+        std::uint16_t port;
+        int type;
+    } used[] = {{1, port_internal, SOCK_STREAM}, {1, port_control_plane, SOCK_STREAM},
+                {2, port_ready, SOCK_STREAM},    {2, port_datagram, SOCK_DGRAM},
+                {4, port_app, SOCK_STREAM},      {4, port_datagram, SOCK_DGRAM},
+                {7, port_datagram, SOCK_DGRAM}};
+    for (const auto& item : used)
+    {
+        const int fd = ::socket(AF_INET, item.type | SOCK_CLOEXEC, 0);
+        const sockaddr_in at = to_sockaddr(address(network, item.group, 1), item.port);
+        const bool is_free = ::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof(at)) == 0;
+        ::close(fd);
+        if (!is_free)
+        {
+            return false;
+        }
+    }
+    return true;
 }
 
 /** The record of a case: what was sent, answered and run, with the time in seconds. Thread-safe. */
@@ -174,11 +191,26 @@
 class daemons
 {
 public:
-    daemons(std::string program, int network, int seeds)
-        : program_(std::move(program)), network_(network)
-    {
-        char name[] = "/tmp/carawayshelf-review.XXXXXX";
-        folder_ = ::mkdtemp(name);
+    daemons(std::string program, int network, int seeds, record& log)
+        : program_(std::move(program)), network_(network), log_(log)
+    {
+        // A driver that is told to stop ends its processes and removes its folder as well.
+        sigset_t stop = stop_signals();
+        ::pthread_sigmask(SIG_BLOCK, &stop, nullptr);
+        watcher_ = std::thread(
+            [this]
+            {
+                sigset_t awaited = stop_signals();
+                int number = 0;
+                ::sigwait(&awaited, &number);
+                if (!is_ending_)
+                {
+                    end_all();
+                    ::_exit(2);
+                }
+            });
+        std::string name = std::filesystem::temp_directory_path() / "carawayshelf-review.XXXXXX";
+        folder_ = ::mkdtemp(name.data());
         for (int i = 1; i <= seeds; ++i)
         {
             seeds_ += (i == 1 ? "" : ",") + address(network, 1, i) + ":" +
@@ -188,20 +220,10 @@
 
     ~daemons()
     {
-        for (const auto& [name, pid] : pids_)
-        {
-            ::kill(pid, SIGCONT);
-            ::kill(pid, SIGKILL);
-            ::waitpid(pid, nullptr, 0);
-        }
-        if (std::getenv("KEEP") == nullptr)
-        {
-            const std::string command = "rm -rf '" + folder_ + "'";
-            if (std::system(command.c_str()) != 0)
-            {
-                std::cerr << "could not remove " << folder_ << "\n";
-            }
-        }
+        is_ending_ = true;
+        ::pthread_kill(watcher_.native_handle(), SIGTERM);
+        watcher_.join();
+        end_all();
     }
 
     const std::string& folder() const
@@ -281,6 +303,8 @@
 
     void signal(const std::string& name, int number)
     {
+        const std::lock_guard<std::mutex> guard(lock_);
+        log_.write("signal " + std::to_string(number) + " to " + name);
         ::kill(pids_.at(name), number);
         if (number == SIGTERM || number == SIGKILL)
         {
@@ -292,6 +316,7 @@
     /** Names of daemons that have ended by themselves. */
     std::vector<std::string> ended()
     {
+        const std::lock_guard<std::mutex> guard(lock_);
         std::vector<std::string> names;
         for (auto item = pids_.begin(); item != pids_.end();)
         {
@@ -330,9 +355,12 @@
         std::ofstream(file) << settings;
         const std::string log = folder_ + "/" + name + ".log";
         const std::string option = "--config=" + file;
+        const std::lock_guard<std::mutex> guard(lock_);
         const pid_t pid = ::fork();
         if (pid == 0)
         {
+            sigset_t stop = stop_signals();
+            ::pthread_sigmask(SIG_UNBLOCK, &stop, nullptr);
             ::prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(fd, 1);
@@ -341,10 +369,42 @@
             ::_exit(127);
         }
         pids_[name] = pid;
+        log_.write("start  " + name + " (pid " + std::to_string(pid) + ")");
+    }
+
+    static sigset_t stop_signals()
+    {
+        sigset_t signals;
+        ::sigemptyset(&signals);
+        ::sigaddset(&signals, SIGTERM);
+        ::sigaddset(&signals, SIGINT);
+        return signals;
+    }
+
+    void end_all()
+    {
+        const std::lock_guard<std::mutex> guard(lock_);
+        for (const auto& [name, pid] : pids_)
+        {
+            ::kill(pid, SIGCONT);
+            ::kill(pid, SIGKILL);
+            ::waitpid(pid, nullptr, 0);
+        }
+        log_.write("the last " + std::to_string(pids_.size()) + " processes are ended");
+        pids_.clear();
+        if (std::getenv("KEEP") == nullptr)
+        {
+            std::error_code ignored;
+            std::filesystem::remove_all(folder_, ignored);
+        }
     }
 
     std::string program_;
     int network_;
+    record& log_;
+    std::mutex lock_; ///< Guards pids_.
+    std::atomic<bool> is_ending_{false};
+    std::thread watcher_;
     std::string folder_;
     std::string seeds_;
     std::map<std::string, pid_t> pids_;
@@ -617,8 +677,12 @@
         const int on = 1;
         ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
         const sockaddr_in at = to_sockaddr(ip_, port_app);
-        ::bind(listener_, reinterpret_cast<const sockaddr*>(&at), sizeof(at));
-        ::listen(listener_, 64);
+        if (::bind(listener_, reinterpret_cast<const sockaddr*>(&at), sizeof(at)) != 0 ||
+            ::listen(listener_, 64) != 0)
+        {
+            std::cerr << ip_ << ":" << port_app << " can't be bound\n";
+            std::exit(2);
+        }
         announcer_ = std::thread([this] { announce(); });
     }
 
