Daemons follow control instances that are replaced while nothing else changes

Cause: a daemon learned the addresses of the control instances only with an update of its table, and an update was sent only when the generation had grown. A change of the voters doesn't raise it. Seeds that were written into the settings file later were never read; SIGHUP was only logged, and ended balancers and agents of CoAP flows.

Change: a control instance sends the list of instances when its voters change, and to each daemon that subscribes, as an update without content, which older builds accept too. Daemons and control instances read the addresses in their settings again on SIGHUP, and once a second while no instance confirms that it hears a leader.

--- a/modules/carawayshelf_io/agent_daemon.cpp
+++ b/modules/carawayshelf_io/agent_daemon.cpp
@@ -1,14 +1,14 @@
 #include "carawayshelf_io/agent_daemon.hpp"
 
 #include "carawayshelf_io/agent_traffic.hpp"
+#include "carawayshelf_io/control_address_source.hpp"
 #include "carawayshelf_io/control_client.hpp"
+#include "carawayshelf_io/daemon_signals.hpp"
 #include "carawayshelf_io/json_log.hpp"
 #include "carawayshelf_io/metrics_page.hpp"
 #include "carawayshelf_io/operator_client.hpp"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
-
 #include <csignal>
 #include <random>
 
@@ -44,6 +44,9 @@
           client_(
               io, settings.control_instances, [this] { return report(); },
               [this](const table_update& update) { handle_update(update); }),
+          control_addresses_(settings.file, settings.control_instances,
+                             [this](const std::vector<endpoint>& instances)
+                             { client_.set_configured_instances(instances); }),
           announce_timer_(io), stop_timer_(io), report_timer_(io), freeze_timer_(io)
     {
     }
@@ -55,6 +58,7 @@
         {
             return failed;
         }
+        client_.set_unreachable_handler([this] { control_addresses_.reload(); });
         client_.start();
         schedule_freeze_check();
         log_info("agent started; envelopes at " + to_string(settings_.data_address) +
@@ -124,6 +128,12 @@
             });
     }
 
+    /** Reads the addresses of the control instances from the settings file again. */
+    void reload()
+    {
+        control_addresses_.reload();
+    }
+
     std::vector<metric_sample> samples() const
     {
         const agent_status status = traffic_.status();
@@ -273,6 +283,7 @@
     subscriber_table table_;
     agent_traffic traffic_;
     control_client client_;
+    control_address_source control_addresses_;
     boost::asio::steady_timer announce_timer_;
     boost::asio::steady_timer stop_timer_;
     boost::asio::steady_timer report_timer_;
@@ -285,16 +296,8 @@
 {
     boost::asio::io_context io;
     agent_daemon daemon(io, settings);
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    const std::function<void(const boost::system::error_code&, int)> on_signal =
-        [&daemon](const boost::system::error_code& error, int /*signal*/)
-    {
-        if (!error)
-        {
-            daemon.begin_stop();
-        }
-    };
-    signals.async_wait(on_signal);
+    daemon_signals signals(
+        io, [&daemon] { daemon.begin_stop(); }, [&daemon] { daemon.reload(); });
     metrics_page metrics(io);
     if (failure failed =
             metrics.start(settings.metrics_address, [&daemon] { return daemon.samples(); }))
--- a/modules/carawayshelf_io/balancer_daemon.cpp
+++ b/modules/carawayshelf_io/balancer_daemon.cpp
@@ -2,12 +2,12 @@
 
 #include "carawayshelf_catalogue/subscriber_table.hpp"
 #include "carawayshelf_io/balancer_worker.hpp"
+#include "carawayshelf_io/control_address_source.hpp"
 #include "carawayshelf_io/control_client.hpp"
+#include "carawayshelf_io/daemon_signals.hpp"
 #include "carawayshelf_io/json_log.hpp"
 #include "carawayshelf_io/metrics_page.hpp"
 
-#include <boost/asio/signal_set.hpp>
-
 #include <tbb/parallel_for.h>
 
 #include <csignal>
@@ -27,7 +27,10 @@
     balancer_daemon(boost::asio::io_context& io, const balancer_settings& settings)
         : settings_(settings), client_(
                                    io, settings.control_instances, [this] { return report(); },
-                                   [this](const table_update& update) { handle_update(update); })
+                                   [this](const table_update& update) { handle_update(update); }),
+          control_addresses_(settings.file, settings.control_instances,
+                             [this](const std::vector<endpoint>& instances)
+                             { client_.set_configured_instances(instances); })
     {
         for (std::uint32_t i = 0; i < settings.workers; ++i)
         {
@@ -47,11 +50,18 @@
                 return failed;
             }
         }
+        client_.set_unreachable_handler([this] { control_addresses_.reload(); });
         client_.start();
         log_info("balancer started; envelopes at " + to_string(settings_.data_address));
         return {};
     }
 
+    /** Reads the addresses of the control instances from the settings file again. */
+    void reload()
+    {
+        control_addresses_.reload();
+    }
+
     std::vector<metric_sample> samples() const
     {
         std::vector<metric_sample> samples = {
@@ -137,6 +147,7 @@
     std::vector<std::unique_ptr<balancer_worker>> workers_;
     std::vector<std::map<service_id, std::shared_ptr<unique_fd>>> sockets_;
     control_client client_;
+    control_address_source control_addresses_;
 };
 
 } // namespace
@@ -144,19 +155,15 @@
 failure run_balancer(const balancer_settings& settings)
 {
     boost::asio::io_context io;
-    boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-    signals.async_wait(
-        [&io](const boost::system::error_code& error, int /*signal*/)
-        {
-            if (!error)
-            {
-                // Stops without draining: a balancer keeps no flow state, so callers and agents
-                // continue through the other balancers.
-                log_info("stops");
-                io.stop();
-            }
-        });
     balancer_daemon daemon(io, settings);
+    const auto stop = [&io]
+    {
+        // Without draining: a balancer keeps no flow state, so callers and agents continue through
+        // the other balancers.
+        log_info("stops");
+        io.stop();
+    };
+    daemon_signals signals(io, stop, [&daemon] { daemon.reload(); });
     metrics_page metrics(io);
     if (failure failed =
             metrics.start(settings.metrics_address, [&daemon] { return daemon.samples(); }))
--- a/modules/carawayshelf_io/control_client.cpp
+++ b/modules/carawayshelf_io/control_client.cpp
@@ -25,6 +25,10 @@
     enough for several elections. */
 constexpr duration unconfirmed_timeout = std::chrono::milliseconds(1500);
 
+/** Time without a confirmation from any control instance after which, and after each repetition of
+    which, the unreachable handler is called. */
+constexpr duration unreachable_timeout = std::chrono::seconds(1);
+
 } // namespace
 
 control_client::control_client(boost::asio::io_context& io, std::vector<endpoint> instances,
@@ -37,6 +41,7 @@
 
 void control_client::start()
 {
+    unreachable_at_ = steady_now() + unreachable_timeout;
     connect();
     schedule_heartbeat();
 }
@@ -181,6 +186,7 @@
     if (received.probe && received.probe->is_confirmed)
     {
         last_confirmed_at_ = steady_now();
+        unreachable_at_ = steady_now() + unreachable_timeout;
         is_confirmed_ = true;
         confirmation_timeout_.note_confirmed();
         if (on_confirmed_ && received.probe->number != 0)
@@ -191,7 +197,11 @@
     if (received.update)
     {
         update_instances(received.update->instances);
-        if (const std::optional<table_update> update = unpack_update(*received.update))
+        const bool has_news =
+            received.update->complete || received.update->held != held_generation_;
+        const std::optional<table_update> update =
+            has_news ? unpack_update(*received.update) : std::optional<table_update>();
+        if (update)
         {
             held_generation_ = std::max(held_generation_, update->held);
             on_update_(*update);
@@ -219,6 +229,25 @@
     on_confirmed_ = std::move(on_confirmed);
 }
 
+void control_client::set_unreachable_handler(std::function<void()> on_unreachable)
+{
+    on_unreachable_ = std::move(on_unreachable);
+}
+
+void control_client::set_configured_instances(const std::vector<endpoint>& instances)
+{
+    instances_.set_configured(instances);
+}
+
+void control_client::call_if_unreachable()
+{
+    if (on_unreachable_ && steady_now() >= unreachable_at_)
+    {
+        unreachable_at_ = steady_now() + unreachable_timeout;
+        on_unreachable_();
+    }
+}
+
 void control_client::update_instances(const std::vector<std::uint64_t>& instances)
 {
     std::vector<endpoint> known;
@@ -261,6 +290,7 @@
             if (!error)
             {
                 close_if_timed_out();
+                call_if_unreachable();
                 send_report();
                 schedule_heartbeat();
             }
--- a/modules/carawayshelf_io/control_client.hpp
+++ b/modules/carawayshelf_io/control_client.hpp
@@ -43,6 +43,13 @@
         with a leader, after all updates that it sent before. */
     void set_confirmation_handler(confirmation_handler on_confirmed);
 
+    /** Sets a handler that is called when no control instance has confirmed contact with a leader
+        for a second, and every second from then on until one does. */
+    void set_unreachable_handler(std::function<void()> on_unreachable);
+
+    /** Replaces the configured control instances. An open connection stays. */
+    void set_configured_instances(const std::vector<endpoint>& instances);
+
     /** Sets the service that an agent needs updates for, and subscribes again if connected. */
     void set_service(const std::string& service);
 
@@ -73,6 +80,7 @@
     void handle_frame(frame& received);
     void handle_disconnect();
     void close_if_timed_out();
+    void call_if_unreachable();
     static void add_probe(frame& sent);
     void start_confirmation_timer();
     void leave_if_unconfirmed();
@@ -84,7 +92,9 @@
     std::shared_ptr<boost::asio::ip::tcp::socket> connecting_; ///< The current connection attempt.
     time_point last_frame_at_;                                 ///< Last frame on this connection.
     time_point last_confirmed_at_; ///< Last confirmation of leader contact.
+    time_point unreachable_at_;    ///< When on_unreachable_ is due if nothing is confirmed before.
     confirmation_handler on_confirmed_;
+    std::function<void()> on_unreachable_;
     report_source report_;
     update_handler on_update_;
     std::string service_;
--- a/modules/carawayshelf_io/control_daemon.cpp
+++ b/modules/carawayshelf_io/control_daemon.cpp
@@ -1,5 +1,6 @@
 #include "carawayshelf_io/control_daemon.hpp"
 
+#include "carawayshelf_io/control_address_source.hpp"
 #include "carawayshelf_io/control_server.hpp"
 #include "carawayshelf_io/daemon_signals.hpp"
 #include "carawayshelf_io/json_log.hpp"
@@ -88,7 +89,12 @@
         { platform.handle_operator_request(server, request, respond); });
     operator_server.reject_abandoned_requests(server.pauses());
     graceful_stop stop(io, server, operator_server);
-    daemon_signals signals(io, [&stop] { stop.begin(); });
+    control_address_source seeds(settings.file, settings.peers,
+                                 [&server](const std::vector<endpoint>& addresses)
+                                 { server.set_seeds(addresses); });
+    server.set_leaderless_handler([&seeds] { seeds.reload(); });
+    daemon_signals signals(
+        io, [&stop] { stop.begin(); }, [&seeds] { seeds.reload(); });
     metrics_page metrics(io);
     const metrics_page::source samples = [&server, &operator_server]
     {
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -18,6 +18,10 @@
 constexpr std::chrono::milliseconds tick_interval(10);
 constexpr std::chrono::milliseconds lease_interval(250);
 constexpr duration request_timeout = std::chrono::seconds(5);
+/** Time without an active leader after which, and after each repetition of which, the leaderless
+    handler is called; long enough for an election. */
+constexpr duration leaderless_timeout = std::chrono::seconds(1);
+
 constexpr duration storage_retry_interval = std::chrono::milliseconds(250);
 
 /** A connection on which nothing arrives for this long is closed; daemons and peers send several
@@ -82,6 +86,7 @@
                                 " can't be bound: " + error.message());
     }
     accept_next();
+    leaderless_at_ = steady_now() + leaderless_timeout;
     on_tick_timer();
     on_lease_timer();
     log_info("control instance in slot " + std::to_string(settings_.slot) + " is listening on " +
@@ -391,6 +396,35 @@
     }
 }
 
+void control_server::set_leaderless_handler(std::function<void()> on_leaderless)
+{
+    on_leaderless_ = std::move(on_leaderless);
+}
+
+void control_server::call_if_leaderless()
+{
+    const time_point instant = steady_now();
+    if (core_->has_active_leader(instant))
+    {
+        leaderless_at_ = instant + leaderless_timeout;
+    }
+    else if (on_leaderless_ && instant >= leaderless_at_)
+    {
+        leaderless_at_ = instant + leaderless_timeout;
+        on_leaderless_();
+    }
+}
+
+void control_server::set_seeds(const std::vector<endpoint>& seeds)
+{
+    if (!settings_.discovers_peers)
+    {
+        log_warning("the list of control instances in the settings takes effect at the next start");
+        return;
+    }
+    settings_.peers = seeds;
+}
+
 void control_server::add_peer(instance_slot slot)
 {
     const endpoint address = address_of(slot);
@@ -687,6 +721,7 @@
 void control_server::on_lease_timer()
 {
     const time_point instant = steady_now();
+    call_if_leaderless();
     maintain_peers();
     update_cache_.clear();
     fail_pending_forwards([instant](const pending_forward& request)
--- a/modules/carawayshelf_io/control_server.hpp
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -68,6 +68,14 @@
     void set_domain_out(const std::string& domain, bool out, caller_check is_caller_waiting,
                         operator_result_handler done) override;
 
+    /** Sets a handler that is called when this instance has had no active leader for a second, and
+        every second from then on until it has one. */
+    void set_leaderless_handler(std::function<void()> on_leaderless);
+
+    /** Replaces the seeds that the settings listed at the start. Has no effect if the settings list
+        all instances: a change of that list takes a restart. */
+    void set_seeds(const std::vector<endpoint>& seeds);
+
     /** Pauses of this instance, which its periodic work notes. */
     pause_monitor& pauses()
     {
@@ -109,6 +117,7 @@
         daemon_report report;
         std::string service;
         generation sent_generation = 0;
+        std::uint64_t sent_instances_version = 0;
         time_point last_heard;
     };
 
@@ -144,6 +153,7 @@
     void suspend_storage(const failure& why);
     void resume_storage();
     void maintain_peers();
+    void call_if_leaderless();
     void add_peer(instance_slot slot);
     endpoint address_of(instance_slot slot) const;
     bool is_confirmed() const;
@@ -205,6 +215,7 @@
                        const buffers::daemon_lease_object& packed);
     void handle_restart_states(const connection_pointer& connection, const frame& received);
     void send_due_updates();
+    void note_instances();
     void send_update(subscriber& to);
     std::string encode_update(generation from, const std::string& only_service) const;
 
@@ -236,6 +247,10 @@
     bool was_leader_ = false;
     instance_id last_leader_ = 0;
     bool is_output_processing_scheduled_ = false;
+    time_point leaderless_at_; ///< When on_leaderless_ is due if there is no active leader before.
+    std::function<void()> on_leaderless_;
+    std::vector<instance_id> announced_voters_; ///< Instances that daemons are told to use.
+    std::uint64_t instances_version_ = 0;       ///< Counts the changes of announced_voters_.
     update_batcher update_batcher_;
     encoded_update_cache update_cache_;
     failure stop_reason_;
--- a/modules/carawayshelf_io/control_server_subscribers.cpp
+++ b/modules/carawayshelf_io/control_server_subscribers.cpp
@@ -15,7 +15,7 @@
     added.sent_generation = 0;
     added.last_heard = steady_now();
     // An incremental update suffices for a daemon at or after the horizon. One that is ahead of
-    // this instance gets no update and keeps its table.
+    // this instance keeps its table and gets no update until this instance has caught up.
     if (added.report.held != 0 && added.report.held >= state_.data().horizon)
     {
         added.sent_generation = added.report.held;
@@ -66,6 +66,7 @@
     // Right after a start the state may be older than what the daemons already hold: it is that of
     // the snapshot until the leader's records have arrived.
     has_been_confirmed_ = has_been_confirmed_ || is_confirmed();
+    note_instances();
     if (!update_batcher_.take_due(steady_now(), has_been_confirmed_))
     {
         return;
@@ -76,6 +77,18 @@
     }
 }
 
+/** Notes a change of the voters, which daemons must learn even while no entry changes: all
+   instances that they know might be replaced before the next change. */
+void control_server::note_instances()
+{
+    if (core_->log().voters() != announced_voters_)
+    {
+        announced_voters_ = core_->log().voters();
+        ++instances_version_;
+        update_batcher_.note_change();
+    }
+}
+
 void control_server::send_update(subscriber& to)
 {
     if (!has_been_confirmed_)
@@ -84,25 +97,28 @@
         return;
     }
     const generation current = state_.data().held;
-    if (to.sent_generation >= current)
+    const bool has_news =
+        to.sent_generation < current || to.sent_instances_version != instances_version_;
+    if (to.sent_generation > current || !has_news)
     {
         return;
     }
     const bool takes_all = to.report.kind == daemon_kind::balancer || to.service == every_service;
     const std::string only_service = takes_all ? "" : (to.service.empty() ? "-" : to.service);
-    const encoded_update_cache::state_version current_version{current, core_->log().voters_index()};
+    const encoded_update_cache::state_version current_version{current, instances_version_};
     const encoded_update_cache::bytes bytes = update_cache_.get(
         current_version, to.sent_generation, only_service,
         [this, &to, &only_service] { return encode_update(to.sent_generation, only_service); });
     to.connection->send_encoded(frame_kind::update, bytes);
     to.sent_generation = current;
+    to.sent_instances_version = instances_version_;
 }
 
 std::string control_server::encode_update(generation from, const std::string& only_service) const
 {
     frame update;
     update.update = pack_update(state_.collect_update(from, only_service));
-    for (const instance_id voter : core_->log().voters())
+    for (const instance_id voter : announced_voters_)
     {
         update.update->instances.push_back(pack_endpoint(address_of(slot_of(voter))));
     }
--- a/modules/carawayshelf_io/daemon_signals.hpp
+++ b/modules/carawayshelf_io/daemon_signals.hpp
@@ -12,14 +12,16 @@
 namespace carawayshelf
 {
 
-/** Handles the signals of a daemon: each SIGTERM or SIGINT calls the stop handler. SIGHUP, which
-    means that the settings file has changed, is only logged. */
+/** Handles the signals of a daemon: each SIGTERM or SIGINT calls the stop handler, and each SIGHUP,
+    which means that the settings file has changed, the reload handler. All handlers are called on
+    the io_context's thread. */
 class daemon_signals
 {
 public:
-    /** @param on_stop  called on the io_context's thread */
-    daemon_signals(boost::asio::io_context& io, std::function<void()> on_stop)
-        : signals_(io, SIGTERM, SIGINT, SIGHUP), on_stop_(std::move(on_stop))
+    daemon_signals(boost::asio::io_context& io, std::function<void()> on_stop,
+                   std::function<void()> on_reload)
+        : signals_(io, SIGTERM, SIGINT, SIGHUP), on_stop_(std::move(on_stop)),
+          on_reload_(std::move(on_reload))
     {
         wait_next();
     }
@@ -36,8 +38,9 @@
                 }
                 if (signal == SIGHUP)
                 {
-                    // A running daemon gets the changes that it needs from control.
-                    log_info("settings changed; they take effect at the next start");
+                    log_info("SIGHUP: reading the addresses of the control instances; other "
+                             "settings take effect at the next start");
+                    on_reload_();
                 }
                 else
                 {
@@ -49,6 +52,7 @@
 
     boost::asio::signal_set signals_;
     std::function<void()> on_stop_;
+    std::function<void()> on_reload_;
 };
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_io/encoded_update_cache.hpp
+++ b/modules/carawayshelf_io/encoded_update_cache.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "carawayshelf_catalogue/cluster_state.hpp"
-#include "carawayshelf_consensus/log_store.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -25,11 +25,11 @@
     struct state_version
     {
         generation held = 0;
-        log_index voters_index = 0; ///< Of the voter list, since updates list the instances.
+        std::uint64_t instances_version = 0; ///< Updates list the control instances as well.
 
         bool operator==(const state_version& other) const
         {
-            return held == other.held && voters_index == other.voters_index;
+            return held == other.held && instances_version == other.instances_version;
         }
     };
 
--- a/modules/carawayshelf_io/instance_rotation.cpp
+++ b/modules/carawayshelf_io/instance_rotation.cpp
@@ -36,12 +36,30 @@
 
 void instance_rotation::update(const std::vector<endpoint>& instances)
 {
-    const auto is_gone = [this, &instances](const endpoint& known)
+    known_ = instances;
+    remove_unlisted();
+    add(instances);
+}
+
+void instance_rotation::set_configured(const std::vector<endpoint>& instances)
+{
+    configured_ = instances;
+    remove_unlisted();
+    add(instances);
+}
+
+void instance_rotation::remove_unlisted()
+{
+    const auto is_unlisted = [this](const endpoint& instance)
     {
-        return !contains(configured_, known) && !contains(instances, known);
+        return !contains(configured_, instance) && !contains(known_, instance);
     };
-    untried_.erase(std::remove_if(untried_.begin(), untried_.end(), is_gone), untried_.end());
-    tried_.erase(std::remove_if(tried_.begin(), tried_.end(), is_gone), tried_.end());
+    untried_.erase(std::remove_if(untried_.begin(), untried_.end(), is_unlisted), untried_.end());
+    tried_.erase(std::remove_if(tried_.begin(), tried_.end(), is_unlisted), tried_.end());
+}
+
+void instance_rotation::add(const std::vector<endpoint>& instances)
+{
     for (const endpoint& instance : instances)
     {
         if (!instance.is_none() && !contains(untried_, instance) && !contains(tried_, instance))
--- a/modules/carawayshelf_io/packet_agent_daemon.cpp
+++ b/modules/carawayshelf_io/packet_agent_daemon.cpp
@@ -1,5 +1,6 @@
 #include "carawayshelf_io/packet_agent_daemon.hpp"
 
+#include "carawayshelf_io/control_address_source.hpp"
 #include "carawayshelf_io/control_client.hpp"
 #include "carawayshelf_io/daemon_signals.hpp"
 #include "carawayshelf_io/departure_monitor.hpp"
@@ -39,6 +40,9 @@
           client_(
               io, settings.control_instances, [this] { return current_report(); },
               [this](const table_update& update) { handle_update(update); }),
+          control_addresses_(settings.file, settings.control_instances,
+                             [this](const std::vector<endpoint>& instances)
+                             { client_.set_configured_instances(instances); }),
           announcement_server_(
               io,
               [this, &platform](const http_request& request, const http_responder& respond)
@@ -77,6 +81,7 @@
                              { core.confirm_table(instant, asked_at); });
             });
         client_.set_service(every_service);
+        client_.set_unreachable_handler([this] { control_addresses_.reload(); });
         client_.start();
         log_info("packet agent started; envelopes at " + to_string(settings_.data_address) +
                  ", announcements at " + to_string(settings_.announce_address));
@@ -91,6 +96,12 @@
         io_.stop();
     }
 
+    /** Reads the addresses of the control instances from the settings file again. */
+    void reload()
+    {
+        control_addresses_.reload();
+    }
+
     std::vector<metric_sample> samples() const
     {
         std::vector<metric_sample> samples = packet_metric_samples("agent", counters_);
@@ -247,6 +258,7 @@
     std::atomic<generation> table_generation_{0};
     packet_agent_worker worker_;
     control_client client_;
+    control_address_source control_addresses_;
     http_server announcement_server_;
     http_server readiness_server_;
     boost::asio::steady_timer retry_timer_;
@@ -259,7 +271,8 @@
 {
     boost::asio::io_context io;
     packet_agent_daemon daemon(io, settings, platform);
-    daemon_signals signals(io, [&daemon] { daemon.begin_stop(); });
+    daemon_signals signals(
+        io, [&daemon] { daemon.begin_stop(); }, [&daemon] { daemon.reload(); });
     metrics_page metrics(io);
     if (failure failed =
             metrics.start(settings.metrics_address, [&daemon] { return daemon.samples(); }))
--- a/modules/carawayshelf_io/packet_balancer_daemon.cpp
+++ b/modules/carawayshelf_io/packet_balancer_daemon.cpp
@@ -1,5 +1,6 @@
 #include "carawayshelf_io/packet_balancer_daemon.hpp"
 
+#include "carawayshelf_io/control_address_source.hpp"
 #include "carawayshelf_io/control_client.hpp"
 #include "carawayshelf_io/daemon_signals.hpp"
 #include "carawayshelf_io/decision_log.hpp"
@@ -188,6 +189,9 @@
           client_(
               io, settings.control_instances, [this] { return report(); },
               [this](const table_update& update) { handle_update(update); }),
+          control_addresses_(settings.file, settings.control_instances,
+                             [this](const std::vector<endpoint>& instances)
+                             { client_.set_configured_instances(instances); }),
           readiness_server_(
               io, [this, &platform](const http_request& request, const http_responder& respond)
               { platform.handle_readiness(is_ready_ && !is_stopping_, request, respond); }),
@@ -207,6 +211,7 @@
         }
         client_.set_confirmation_handler([this](time_point asked_at)
                                          { worker_.confirm_table(asked_at); });
+        client_.set_unreachable_handler([this] { control_addresses_.reload(); });
         client_.start();
         log_info("packet balancer started; packets at " + to_string(settings_.entry) +
                  ", envelopes at " + to_string(settings_.data_address));
@@ -229,6 +234,12 @@
         stop_timer_.async_wait([this](const boost::system::error_code& /*error*/) { io_.stop(); });
     }
 
+    /** Reads the addresses of the control instances from the settings file again. */
+    void reload()
+    {
+        control_addresses_.reload();
+    }
+
     std::vector<metric_sample> samples() const
     {
         std::vector<metric_sample> samples = packet_metric_samples("balancer", counters_);
@@ -282,6 +293,7 @@
     bool is_stopping_ = false;
     packet_balancer_worker worker_;
     control_client client_;
+    control_address_source control_addresses_;
     http_server readiness_server_;
     boost::asio::steady_timer stop_timer_;
 };
@@ -292,7 +304,8 @@
 {
     boost::asio::io_context io;
     packet_balancer_daemon daemon(io, settings, platform);
-    daemon_signals signals(io, [&daemon] { daemon.begin_stop(); });
+    daemon_signals signals(
+        io, [&daemon] { daemon.begin_stop(); }, [&daemon] { daemon.reload(); });
     metrics_page metrics(io);
     if (failure failed =
             metrics.start(settings.metrics_address, [&daemon] { return daemon.samples(); }))
--- a/modules/carawayshelf_io/settings.cpp
+++ b/modules/carawayshelf_io/settings.cpp
@@ -200,6 +200,29 @@
     }
 
     failure finish()
+    {
+        add_unknown_keys();
+        return report();
+    }
+
+    /** Returns the faults found so far as one failure, or success. */
+    failure report() const
+    {
+        if (faults_.empty())
+        {
+            return {};
+        }
+        std::string message;
+        for (const std::string& fault : faults_)
+        {
+            message += message.empty() ? "" : "\n";
+            message += fault;
+        }
+        return make_failure(error_kind::invalid_settings, message);
+    }
+
+private:
+    void add_unknown_keys()
     {
         for (const auto& [section, keys] : tree_)
         {
@@ -218,20 +241,8 @@
                           "empty section or key outside a section, remove or correct it");
             }
         }
-        if (faults_.empty())
-        {
-            return {};
-        }
-        std::string message;
-        for (const std::string& fault : faults_)
-        {
-            message += message.empty() ? "" : "\n";
-            message += fault;
-        }
-        return make_failure(error_kind::invalid_settings, message);
     }
 
-private:
     std::optional<std::string> find(const std::string& section, const std::string& key,
                                     bool required)
     {
@@ -262,6 +273,7 @@
 failure load_settings(const std::string& file, balancer_settings& loaded)
 {
     settings_reader reader(file);
+    loaded.file = file;
     loaded.name = reader.read_name("balancer", "name");
     loaded.domain = reader.read_name("balancer", "domain");
     loaded.protocol = reader.read_protocol("balancer");
@@ -284,6 +296,7 @@
 failure load_settings(const std::string& file, agent_daemon_settings& loaded)
 {
     settings_reader reader(file);
+    loaded.file = file;
     loaded.name = reader.read_name("agent", "name");
     loaded.domain = reader.read_name("agent", "domain");
     loaded.data_address = reader.read_endpoint("agent", "data_address", true);
@@ -313,6 +326,7 @@
 failure load_settings(const std::string& file, control_settings& loaded)
 {
     settings_reader reader(file);
+    loaded.file = file;
     loaded.data_folder = reader.read_text("control", "data_folder");
     loaded.address = reader.read_endpoint("control", "address", false);
     loaded.discovers_peers = !loaded.address.is_none();
@@ -344,4 +358,16 @@
     return reader.finish();
 }
 
+failure load_control_addresses(const std::string& file, std::vector<endpoint>& loaded)
+{
+    settings_reader reader(file);
+    std::vector<endpoint> addresses = reader.read_control_addresses();
+    failure failed = reader.report();
+    if (!failed)
+    {
+        loaded = std::move(addresses);
+    }
+    return failed;
+}
+
 } // namespace carawayshelf
--- a/modules/carawayshelf_io/settings.hpp
+++ b/modules/carawayshelf_io/settings.hpp
@@ -31,6 +31,7 @@
     std::uint32_t stop_ms = 1200;
     endpoint metrics_address;
     std::vector<endpoint> control_instances;
+    std::string file; ///< The file that these settings were loaded from.
 };
 
 /** Settings of an agent. Those marked "Packets" apply only with flow_protocol::packets. */
@@ -50,6 +51,7 @@
     load_options load;                ///< Packets: decisions under load.
     endpoint metrics_address;
     std::vector<endpoint> control_instances;
+    std::string file; ///< The file that these settings were loaded from.
 };
 
 /** Settings of a control instance. */
@@ -72,6 +74,7 @@
     /** Bytes of log records after which a snapshot is made even before snapshot_every. A few large
         configurations reach this size, so they are loaded quickly after a start. */
     std::uint32_t snapshot_bytes = 1U << 20U;
+    std::string file; ///< The file that these settings were loaded from.
 };
 
 /** Each reads a settings file. On failure the detail lists all faults, one per line: section, key,
@@ -80,4 +83,9 @@
 failure load_settings(const std::string& file, agent_daemon_settings& loaded);
 failure load_settings(const std::string& file, control_settings& loaded);
 
+/** Reads only the addresses of the control instances from a settings file of any role, for a daemon
+    that runs already. Other keys are not checked. On failure `loaded` doesn't change, and the
+   detail is that of load_settings(). Errors: invalid_settings. Thread-safe. */
+failure load_control_addresses(const std::string& file, std::vector<endpoint>& loaded);
+
 } // namespace carawayshelf
--- a/tests/unit/control_updates_test.cpp
+++ b/tests/unit/control_updates_test.cpp
@@ -133,6 +133,24 @@
     }
 }
 
+/** New seeds replace the configured ones, and what control listed last stays. */
+BOOST_AUTO_TEST_CASE(configured_instances_can_be_replaced)
+{
+    for (std::uint32_t seed = 0; seed < 50; ++seed)
+    {
+        instance_rotation rotation({{1, 7000}, {2, 7000}}, seed);
+        rotation.next();
+        rotation.update({{2, 7000}, {3, 7000}});
+        rotation.set_configured({{4, 7000}, {5, 7000}});
+        std::set<endpoint> offered;
+        for (int i = 0; i < 8; ++i)
+        {
+            offered.insert(rotation.next());
+        }
+        BOOST_TEST((offered == std::set<endpoint>{{2, 7000}, {3, 7000}, {4, 7000}, {5, 7000}}));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(daemons_start_at_different_instances)
 {
     std::map<endpoint, int> first;
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -130,6 +130,21 @@
     BOOST_TEST(failed.detail.find("is missing") == std::string::npos);
 }
 
+/** A running daemon reads only these again, whatever else has changed. */
+BOOST_AUTO_TEST_CASE(control_addresses_can_be_read_alone)
+{
+    std::vector<endpoint> addresses = {{1, 1}};
+    for (const char* sample : {"balancer.ini", "agent.ini", "control.ini", "packet-balancer.ini",
+                               "packet-agent.ini", "control-seeds.ini"})
+    {
+        BOOST_TEST(load_control_addresses(samples + sample, addresses).message() == "Success");
+        BOOST_TEST(addresses.size() == 3U);
+    }
+    const std::vector<endpoint> kept = addresses;
+    BOOST_TEST(!load_control_addresses(samples + "no-such-file.ini", addresses).detail.empty());
+    BOOST_TEST((addresses == kept));
+}
+
 BOOST_AUTO_TEST_CASE(malformed_addresses_are_rejected)
 {
     BOOST_TEST(to_string(*parse_endpoint("127.0.0.1:80")) == "127.0.0.1:80");
