At least 2f+1 control instances stay voters, f being the tolerated losses

Cause: a voter that was silent for 6 s was removed as long as three were left, a constant. Three voters hold a record on two disks only, so the loss of two of them left no majority, although the dark instances returned with their disks.

Change: the settings state the tolerated losses ([control] tolerated_losses), and at least 2f+1 instances stay voters. Without the value, f is the largest minority of the voters that the leader has seen at once. A voter beyond 2f+1 is removed early if the voters that answer, less f, would be no majority.

--- a/modules/carawayshelf_consensus/membership_manager.cpp
+++ b/modules/carawayshelf_consensus/membership_manager.cpp
@@ -17,12 +17,9 @@
     restart changes no voters. */
 constexpr duration lost_voter_timeout = std::chrono::seconds(6);
 
-/** The same while there are more voters than the cluster needs. */
+/** The same while the voters that answer bear fewer losses than are tolerated. */
 constexpr duration surplus_voter_timeout = std::chrono::seconds(1);
 
-/** Voters that must remain when lost ones are removed; three tolerate the loss of one. */
-constexpr std::size_t min_voters = 3;
-
 bool contains(const std::vector<instance_id>& voters, instance_id identity)
 {
     return std::find(voters.begin(), voters.end(), identity) != voters.end();
@@ -52,8 +49,8 @@
     return make_identity(slot, 1);
 }
 
-membership_manager::membership_manager(std::size_t expected_instances)
-    : expected_instances_(expected_instances)
+membership_manager::membership_manager(std::size_t expected_instances, std::size_t tolerated_losses)
+    : expected_instances_(expected_instances), stated_losses_(tolerated_losses)
 {
 }
 
@@ -122,6 +119,19 @@
     return all;
 }
 
+std::size_t membership_manager::tolerated_losses() const
+{
+    constexpr std::size_t min_losses = 1;
+    const std::size_t largest_minority = full_size_ == 0 ? 0 : (full_size_ - 1) / 2;
+    return stated_losses_ != 0 ? stated_losses_ : std::max(min_losses, largest_minority);
+}
+
+/** Voters that must remain when silent ones are removed. */
+std::size_t membership_manager::min_voters() const
+{
+    return 2 * tolerated_losses() + 1;
+}
+
 void membership_manager::note_full_size(time_point now, const consensus_core& core)
 {
     // A new leader doesn't know which voters answered before, and takes all of them.
@@ -145,21 +155,18 @@
 bool membership_manager::remove_lost_voter(time_point now, consensus_core& core)
 {
     const std::vector<instance_id> voters = core.log().voters();
-    // An even number of voters tolerates no more losses than one voter less.
-    const std::size_t needed = full_size_ % 2 == 0 ? full_size_ - 1 : full_size_;
-    const bool has_surplus = voters.size() > std::max(min_voters, needed);
-    const duration timeout = has_surplus ? surplus_voter_timeout : lost_voter_timeout;
+    const std::size_t majority = voters.size() / 2 + 1;
+    const bool bears_losses = core.live_voters(now).size() >= majority + tolerated_losses();
+    const duration timeout = bears_losses ? lost_voter_timeout : surplus_voter_timeout;
     instance_id lost = 0;
-    std::size_t lost_count = 0;
     for (const instance_id voter : voters)
     {
         if (is_lost_voter(now, core, voter, timeout))
         {
             lost = voter;
-            ++lost_count;
         }
     }
-    if (lost == 0 || voters.size() - lost_count < min_voters)
+    if (lost == 0 || voters.size() <= min_voters())
     {
         return false;
     }
--- a/modules/carawayshelf_consensus/membership_manager.hpp
+++ b/modules/carawayshelf_consensus/membership_manager.hpp
@@ -30,10 +30,12 @@
     remaining instance to answer. The replacement receives the log as a learner meanwhile, and
     becomes a voter once it has caught up. So no majority ever depends on what a lost disk held.
 
-    If instances discover each other, a voter that stays silent is removed as well, as long as three
-    remain. One whose successor in another slot votes already is removed early: it counts towards
-    the majority without contributing to it, so that no other instance could be lost meanwhile. The
-    others stay longer, because fewer voters hold each record in fewer places.
+    If instances discover each other, a voter that stays silent is removed as well, as long as
+   enough remain for the tolerated losses: 2f+1 voters hold each record on f+1 disks, so that f
+   disks can be lost. With fewer voters, one disk less could be lost while the silent voters are
+   away, although theirs are intact. A voter that is one too many, as its successor in another slot
+   votes already, is removed early: it counts towards the majority without contributing to it, so
+   that no other instance could be lost meanwhile.
 
     Not thread-safe. Performs no I/O.
 */
@@ -42,8 +44,11 @@
 public:
     /** @param expected_instances  number of control instances in the settings; 0 if instances
             discover each other. Only with 0 are voters that stay silent removed, as long as enough
-            others remain. */
-    explicit membership_manager(std::size_t expected_instances);
+            others remain.
+        @param tolerated_losses  number of instances whose disks may be lost at the same time; 0 if
+            not stated, and the largest minority of the voters that this leader has seen is assumed
+     */
+    explicit membership_manager(std::size_t expected_instances, std::size_t tolerated_losses = 0);
 
     /** Sets the current identity of a slot, as its instance reported it. */
     void set_identity(instance_slot slot, instance_id identity);
@@ -67,12 +72,15 @@
     instance_id identity_of(instance_slot slot) const;
 
 private:
+    std::size_t tolerated_losses() const;
+    std::size_t min_voters() const;
     void note_full_size(time_point now, const consensus_core& core);
     bool is_lost_voter(time_point now, const consensus_core& core, instance_id voter,
                        duration timeout);
     bool remove_lost_voter(time_point now, consensus_core& core);
 
     std::size_t expected_instances_;
+    std::size_t stated_losses_; ///< Zero if the settings don't state how many are tolerated.
     std::size_t full_size_ = 0; ///< Largest number of voters that answered at the same time since
                                 ///< this instance leads; zero if it doesn't lead.
     std::map<instance_id, time_point> lost_since_; ///< When each silent voter was first missed.
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -48,7 +48,7 @@
 
 control_server::control_server(boost::asio::io_context& io, const control_settings& settings)
     : io_(io), settings_(settings),
-      membership_(settings.discovers_peers ? 0 : settings.peers.size()),
+      membership_(settings.discovers_peers ? 0 : settings.peers.size(), settings.tolerated_losses),
       leases_(std::chrono::milliseconds(settings.lease_ms)), acceptor_(io), tick_timer_(io),
       lease_timer_(io), peers_(io, settings.slot,
                                [this](const connection_pointer& connection)
--- a/modules/carawayshelf_io/settings.cpp
+++ b/modules/carawayshelf_io/settings.cpp
@@ -16,6 +16,9 @@
 namespace
 {
 
+/** A cluster of 64 control instances, the most that the settings can list, bears no more. */
+constexpr std::uint32_t max_tolerated_losses = 31;
+
 /** Reads one settings file and collects all its faults. */
 class settings_reader
 {
@@ -337,6 +340,8 @@
         loaded.is_first_start = reader.read_flag("control", "first_start");
         loaded.orders_address = reader.read_endpoint("control", "orders_address", false);
         loaded.domains = reader.read_names("control", "domains");
+        loaded.tolerated_losses =
+            reader.read_number("control", "tolerated_losses", 0, 0, max_tolerated_losses);
     }
     else
     {
--- a/modules/carawayshelf_io/settings.hpp
+++ b/modules/carawayshelf_io/settings.hpp
@@ -69,6 +69,9 @@
     bool is_first_start = false;      ///< First start of the cluster: the seeds become the voters.
     endpoint orders_address;          ///< HTTP address for operators.
     std::vector<std::string> domains; ///< Failure domains that operators may name.
+    /** Control instances whose disks may be lost at the same time; 0 if not stated. With
+        discovers_peers only. */
+    std::uint32_t tolerated_losses = 0;
     std::uint32_t lease_ms = 3000;
     std::uint32_t snapshot_every = 5000; ///< Log records between two snapshots.
     /** Bytes of log records after which a snapshot is made even before snapshot_every. A few large
--- a/tests/fakes/control_cluster.hpp
+++ b/tests/fakes/control_cluster.hpp
@@ -373,8 +373,7 @@
                 ++updates_;
                 complete_tables_ += update.complete ? 1 : 0;
             };
-            clients_.push_back(
-                std::make_unique<control_client>(io, instances, report, on_update));
+            clients_.push_back(std::make_unique<control_client>(io, instances, report, on_update));
             clients_.back()->set_confirmation_handler(
                 [this, i](time_point asked_at)
                 {
--- a/tests/unit/control_replacement_test.cpp
+++ b/tests/unit/control_replacement_test.cpp
@@ -1,6 +1,6 @@
 /** @file
-    Control instances that are replaced by others at new addresses, with real sockets and disks: what
-    daemons and the other instances learn about them.
+    Control instances that are replaced by others at new addresses, with real sockets and disks:
+   what daemons and the other instances learn about them.
 */
 #include "carawayshelf_io/control_address_source.hpp"
 #include "carawayshelf_io/daemon_signals.hpp"
@@ -57,8 +57,8 @@
 
 BOOST_AUTO_TEST_SUITE(control_replacements)
 
-/** review/6: daemons learned the addresses of control instances only with a change of their table, so
-    that they lost control for good when all instances were replaced between two changes. */
+/** review/6: daemons learned the addresses of control instances only with a change of their table,
+   so that they lost control for good when all instances were replaced between two changes. */
 BOOST_AUTO_TEST_CASE(daemons_follow_instances_that_are_replaced_while_nothing_else_changes)
 {
     cluster test_cluster;
@@ -70,8 +70,8 @@
     }
     daemon_fleet fleet(test_cluster.io, first_instances, 0);
     fleet.start();
-    BOOST_REQUIRE(test_cluster.run_until(
-        [&fleet] { return fleet.complete_tables() == daemon_fleet::size; }));
+    BOOST_REQUIRE(
+        test_cluster.run_until([&fleet] { return fleet.complete_tables() == daemon_fleet::size; }));
     for (std::size_t replaced = 0; replaced < 3; ++replaced)
     {
         const std::size_t successor = test_cluster.add_instance();
@@ -84,7 +84,8 @@
     BOOST_REQUIRE(test_cluster.replace_until_accepted(3, 2, "two"));
     BOOST_TEST(test_cluster.run_until(
         [&] { return fleet.updates() >= updates_before + daemon_fleet::size; }));
-    BOOST_TEST(fleet.complete_tables() == daemon_fleet::size); // Nobody needed the whole table again.
+    BOOST_TEST(fleet.complete_tables() ==
+               daemon_fleet::size); // Nobody needed the whole table again.
 }
 
 /** A daemon that was cut off or frozen while all instances were replaced knows none of them; its
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -130,6 +130,25 @@
     BOOST_TEST(failed.detail.find("is missing") == std::string::npos);
 }
 
+/** Guards against a cluster that keeps fewer voters than its tolerated losses need. */
+BOOST_AUTO_TEST_CASE(tolerated_losses_are_read_and_checked)
+{
+    const auto settings_with = [](const std::string& line)
+    {
+        return "[control]\naddress = 127.0.1.1:7001\nseeds = 127.0.1.1:8166\nport = 7001\n" + line +
+               "data_folder = /var/lib/carawayshelf\n";
+    };
+    control_settings control;
+    BOOST_TEST(load_text(settings_with(""), control).message() == "Success");
+    BOOST_TEST(control.tolerated_losses == 0U);
+    BOOST_TEST(load_text(settings_with("tolerated_losses = 2\n"), control).message() == "Success");
+    BOOST_TEST(control.tolerated_losses == 2U);
+    const failure failed = load_text(settings_with("tolerated_losses = two\n"), control);
+    BOOST_TEST(failed.detail.find("tolerated_losses is 'two': choose from 0 to 31") !=
+                   std::string::npos,
+               failed.detail);
+}
+
 /** A running daemon reads only these again, whatever else has changed. */
 BOOST_AUTO_TEST_CASE(control_addresses_can_be_read_alone)
 {
