A removed voter that alone has the record of its removal can be elected

Callers would have got 503 for good if the leader was lost at the moment when it took a stopping instance out of the voters, and only that instance had got the record.

Cause: the others still count the stopping instance as a voter, so that they may need its vote, and it refuses, because its log is newer. It didn't start an election itself, because its own log doesn't list it any more. Before planned stops only voters that answered nothing were removed.

Change: an instance that a record removes starts elections as long as the record may be uncommitted. Its own vote doesn't count. It wins by the votes of the new voters, commits the record and steps down, as Raft's change of one voter at a time requires.

--- a/modules/carawayshelf_consensus/consensus_core.cpp
+++ b/modules/carawayshelf_consensus/consensus_core.cpp
@@ -151,12 +151,34 @@
         }
         return;
     }
-    if (now >= election_deadline_ && is_voter())
+    if (now >= election_deadline_ && may_start_election())
     {
         start_pre_vote(now);
     }
 }
 
+bool consensus_core::may_start_election() const
+{
+    if (is_voter())
+    {
+        return true;
+    }
+    const bool may_be_uncommitted = log_.voters_index() > commit_index_;
+    const std::vector<instance_id> previous =
+        may_be_uncommitted ? log_.previous_voters() : std::vector<instance_id>{};
+    return std::find(previous.begin(), previous.end(), identity_) != previous.end();
+}
+
+/** Its own vote counts only if it is a voter, as any other's. */
+void consensus_core::vote_for_itself()
+{
+    votes_.clear();
+    if (is_voter())
+    {
+        votes_.insert(identity_);
+    }
+}
+
 void consensus_core::allow_resends(time_point now)
 {
     for (auto& [id, progress] : followers_)
@@ -220,7 +242,7 @@
     role_ = consensus_role::candidate;
     in_pre_vote_ = true;
     leader_ = 0;
-    votes_ = {identity_};
+    vote_for_itself();
     if (is_quorum(votes_.size()))
     {
         start_election(now);
@@ -234,7 +256,7 @@
     in_pre_vote_ = false;
     ++hard_state_.term;
     hard_state_.voted_for = identity_;
-    votes_ = {identity_};
+    vote_for_itself();
     if (is_quorum(votes_.size()))
     {
         become_leader(now);
--- a/modules/carawayshelf_consensus/consensus_core.hpp
+++ b/modules/carawayshelf_consensus/consensus_core.hpp
@@ -78,9 +78,12 @@
     Drive it with tick(), receive(), propose() and request_read(). After each call, carry out what
     take_output() returns until that is empty. Not thread-safe.
 
-    An instance that is not a voter never starts an election, and a candidate counts its vote only
-    if the candidate's log lists it as a voter. The leader replicates the log to it after
-    add_learner().
+    A candidate counts the votes of those instances only that its log lists as voters. An instance
+    that is not a voter starts no election, with one exception: one that a record which may be
+    uncommitted removes. Its log may be newer than those of the voters that don't have the record,
+    so that none of them wins without its vote, which it doesn't give. It can win by the votes of
+    the new voters, commits the record and steps down. The leader replicates the log to other
+    instances after add_learner().
 */
 class consensus_core
 {
@@ -204,6 +207,8 @@
     };
 
     void become_follower(time_point now, term_number term, instance_id leader);
+    bool may_start_election() const;
+    void vote_for_itself();
     void start_pre_vote(time_point now);
     void start_election(time_point now);
     void become_leader(time_point now);
--- a/modules/carawayshelf_consensus/replicated_log.cpp
+++ b/modules/carawayshelf_consensus/replicated_log.cpp
@@ -68,6 +68,22 @@
     records_.push_back(std::move(record));
 }
 
+std::vector<instance_id> replicated_log::previous_voters() const
+{
+    if (voters_index_ == base_.index)
+    {
+        return {};
+    }
+    for (log_index index = voters_index_ - 1; index >= first_index(); --index)
+    {
+        if (at(index).kind == record_kind::membership)
+        {
+            return at(index).voters;
+        }
+    }
+    return base_.voters;
+}
+
 void replicated_log::drop_front()
 {
     payload_bytes_ -= records_.front().payload.size();
--- a/modules/carawayshelf_consensus/replicated_log.hpp
+++ b/modules/carawayshelf_consensus/replicated_log.hpp
@@ -64,6 +64,9 @@
         return voters_;
     }
 
+    /** Returns the voters before the newest membership record; none if that is the snapshot's. */
+    std::vector<instance_id> previous_voters() const;
+
     /** Returns the payload bytes of all records. */
     std::size_t payload_bytes() const
     {
--- a/tests/fakes/control_simulation.cpp
+++ b/tests/fakes/control_simulation.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr duration tick_interval = std::chrono::milliseconds(10);
+constexpr duration leave_timeout = std::chrono::seconds(3);
 constexpr duration resend_timeout = std::chrono::milliseconds(700);
 constexpr std::size_t operator_count = 3;
 constexpr log_index snapshot_every = 25;
@@ -39,7 +40,8 @@
 control_simulation::control_simulation(std::uint64_t seed, std::size_t instances,
                                        injected_control_faults faults,
                                        control_membership membership)
-    : faults_(faults), membership_(membership), random_(seed), instances_(instances),
+    : faults_(faults), membership_(membership),
+      stated_losses_(seed % 4 < 2 ? 0 : (instances - 1) / 2), random_(seed), instances_(instances),
       operators_(operator_count)
 {
     now_ = time_point(std::chrono::seconds(1000));
@@ -127,6 +129,14 @@
     case control_step_kind::replace:
         lose_disk(item, true);
         break;
+    case control_step_kind::terminate:
+        if (item.core && !item.is_stopping)
+        {
+            item.is_stopping = true;
+            item.stopping_since = now_;
+            item.manager->set_stopping(item.slot, true);
+        }
+        break;
     case control_step_kind::cut_one_way:
         cut_links_.insert({instance_index, peer_index});
         break;
@@ -175,13 +185,14 @@
     item.disk->load(stored);
     item.core = std::make_unique<consensus_core>(consensus_settings{}, stored, random_(), now_);
     item.manager = std::make_unique<membership_manager>(
-        membership_ == control_membership::listed ? instances_.size() : 0);
+        membership_ == control_membership::listed ? instances_.size() : 0, stated_losses_);
     item.state = cluster_state();
     if (!stored.base.state.empty())
     {
         item.state = *decode_state(stored.base.state);
     }
     item.is_frozen = false;
+    item.is_stopping = false;
     item.crashes_on_next_write = false;
     item.next_sync = duration(0);
 }
@@ -225,6 +236,21 @@
     start(item);
 }
 
+void control_simulation::end_if_stopped(instance& item)
+{
+    if (!item.core || !item.is_stopping || item.is_blocked())
+    {
+        return;
+    }
+    const bool is_change_uncommitted = item.core->log().voters_index() > item.core->commit_index();
+    const bool is_leaving = is_change_uncommitted ||
+                            (item.core->is_voter() && item.manager->can_remove_voter(*item.core));
+    if (!is_leaving || now_ - item.stopping_since >= leave_timeout)
+    {
+        crash(item);
+    }
+}
+
 /** Queries the leader as the operator's status command does: by a read that a quorum confirms. */
 bool control_simulation::query_safe_to_lose_one()
 {
@@ -291,11 +317,13 @@
                 if (known.core)
                 {
                     item.manager->set_identity(known.slot, known.core->identity());
+                    item.manager->set_stopping(known.slot, known.is_stopping);
                 }
             }
             item.core->tick(now_);
             item.manager->propose_next_change(now_, *item.core);
             process_output(item);
+            end_if_stopped(item);
         }
         check_leaders();
     }
@@ -576,6 +604,10 @@
         item.is_frozen = false;
         item.next_sync = duration(0);
         item.crashes_on_next_write = false;
+        if (item.core && item.is_stopping)
+        {
+            crash(item); // It would end during the check otherwise, and nothing starts it then.
+        }
         if (!item.core)
         {
             start(item);
--- a/tests/fakes/control_simulation.hpp
+++ b/tests/fakes/control_simulation.hpp
@@ -28,6 +28,7 @@
     restart,
     lose_disk, ///< Only if the leader reports that it is safe.
     replace,   ///< Like lose_disk; the new instance has another address.
+    terminate, ///< A planned stop: the instance ends once it has left the voters or needn't.
     cut_one_way,
     isolate,
     heal,
@@ -102,6 +103,8 @@
         std::unique_ptr<membership_manager> manager;
         cluster_state state;
         bool is_frozen = false;
+        bool is_stopping = false;
+        time_point stopping_since;
         bool crashes_on_next_write = false;
         duration next_sync{0};                   ///< Duration of the next sync.
         time_point stalled_until;                ///< When the stalled sync ends.
@@ -142,6 +145,7 @@
     void take_step(const control_step& step);
     void start(instance& item);
     void crash(instance& item);
+    void end_if_stopped(instance& item);
     void lose_disk(instance& item, bool at_another_address);
     void advance_to(time_point until);
     void process_output(instance& item);
@@ -166,6 +170,7 @@
 
     injected_control_faults faults_;
     control_membership membership_;
+    std::size_t stated_losses_; ///< As in the settings; zero if they don't state how many.
     instance_slot last_slot_ = 0;
     std::mt19937_64 random_;
     time_point now_{};
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -350,6 +350,54 @@
     BOOST_TEST(cluster.cores.at(remaining.front()).log().voters() == alive);
 }
 
+/** A leader removes a voter, and loses its disk when only that voter has the record. The voter's
+   log is the newest, so that the others, which count it as a voter still, can't win without its
+   vote. It has to start the election itself, or the cluster has no leader for good (control
+   histories, seed 17100, with a leader that removes itself). */
+BOOST_AUTO_TEST_CASE(a_removed_voter_that_alone_has_the_record_can_be_elected)
+{
+    for (const bool leader_removes_itself : {false, true})
+    {
+        test_cluster cluster(4);
+        std::vector<instance_id> all;
+        for (instance_slot slot = 1; slot <= 4; ++slot)
+        {
+            all.push_back(first_identity(slot));
+        }
+        cluster.elect_first(all);
+        const instance_id leader = all[0];
+        const instance_id removed = leader_removes_itself ? leader : all[3];
+        const instance_id lost = leader_removes_itself ? all[3] : leader;
+        std::vector<instance_id> remaining = all;
+        remaining.erase(std::find(remaining.begin(), remaining.end(), removed));
+        BOOST_REQUIRE(cluster.cores.at(leader).propose_voters(cluster.now, remaining));
+        cluster.process_output(leader);
+        if (!leader_removes_itself)
+        {
+            cluster.deliver_to(removed);
+        }
+        cluster.in_flight.clear();
+        std::vector<instance_id> alive = all;
+        alive.erase(std::find(alive.begin(), alive.end(), lost));
+        const instance_id voter = all[1];
+        for (int tick = 0; tick < 500; ++tick)
+        {
+            cluster.now += std::chrono::milliseconds(10);
+            for (const instance_id instance : alive)
+            {
+                cluster.cores.at(instance).tick(cluster.now);
+                cluster.process_output(instance);
+            }
+            cluster.deliver_all(alive);
+        }
+        BOOST_TEST(cluster.cores.at(voter).has_active_leader(cluster.now));
+        BOOST_TEST(cluster.cores.at(voter).log().voters() == remaining);
+        BOOST_TEST(cluster.cores.at(voter).commit_index() >=
+                   cluster.cores.at(voter).log().voters_index());
+        BOOST_TEST((cluster.cores.at(removed).role() != consensus_role::leader));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace carawayshelf
--- a/tests/unit/control_history_test.cpp
+++ b/tests/unit/control_history_test.cpp
@@ -29,6 +29,7 @@
 rc::Gen<std::vector<control_step>> history_generator(control_membership membership)
 {
     const std::size_t replacements = membership == control_membership::discovered ? 2 : 0;
+    const std::size_t planned_stops = membership == control_membership::discovered ? 3 : 0;
     const rc::Gen<control_step_kind> kinds = rc::gen::weightedElement<control_step_kind>({
         {40, control_step_kind::act_as_operator},
         {36, control_step_kind::advance},
@@ -38,6 +39,7 @@
         {7, control_step_kind::restart},
         {2, control_step_kind::lose_disk},
         {replacements, control_step_kind::replace},
+        {planned_stops, control_step_kind::terminate},
         {3, control_step_kind::cut_one_way},
         {2, control_step_kind::isolate},
         {5, control_step_kind::heal},
