--- a/tests/process/runbook.sh
+++ b/tests/process/runbook.sh
@@ -29,6 +29,14 @@
         failed=1
     fi
 done < <(grep -o '`carawayshelf [^`]*--control=C`' docs/RUNBOOK.md | tr -d '`')
+# A changed settings file must not end a daemon of flows over CoAP.
+for name in "${!cluster_pid[@]}"; do
+    case "$name" in balancer* | agent* | control*) kill -HUP "${cluster_pid[$name]}" ;; esac
+done
+sleep 0.5
+for name in "${!cluster_pid[@]}"; do
+    kill -0 "${cluster_pid[$name]}" 2>/dev/null || { echo "FAILED: SIGHUP ended $name"; failed=1; }
+done
 echo "$count commands run"
 [ "$count" -ge 8 ] || failed=1
 exit "$failed"
