Daemons take over a list of control instances only from one with a leader

An instance that was frozen while the others were replaced lists those that are gone, and now does so to each daemon that subscribes. A daemon that came by would have lost the addresses of the present instances.

Change: the list of a connection waits until the instance confirms that it hears a leader.

--- a/modules/carawayshelf_io/agent_daemon.cpp
+++ b/modules/carawayshelf_io/agent_daemon.cpp
@@ -9,7 +9,7 @@
 #include "carawayshelf_io/operator_client.hpp"
 
 #include <boost/asio/post.hpp>
-#include <csignal>
+
 #include <random>
 
 namespace carawayshelf
--- a/modules/carawayshelf_io/balancer_daemon.cpp
+++ b/modules/carawayshelf_io/balancer_daemon.cpp
@@ -10,7 +10,6 @@
 
 #include <tbb/parallel_for.h>
 
-#include <csignal>
 #include <vector>
 
 namespace carawayshelf
--- a/modules/carawayshelf_io/control_address_source.hpp
+++ b/modules/carawayshelf_io/control_address_source.hpp
@@ -30,8 +30,7 @@
     std::string file_;
     std::vector<endpoint> current_;
     change_handler on_change_;
-    std::string
-        last_fault_; ///< Logged only when it changes; a daemon without control reloads often.
+    std::string last_fault_; ///< Repeated faults are not logged, as reloads may be frequent.
 };
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_io/control_client.cpp
+++ b/modules/carawayshelf_io/control_client.cpp
@@ -29,6 +29,17 @@
     which, the unreachable handler is called. */
 constexpr duration unreachable_timeout = std::chrono::seconds(1);
 
+std::vector<endpoint> unpack_instances(const std::vector<std::uint64_t>& packed)
+{
+    std::vector<endpoint> instances;
+    instances.reserve(packed.size());
+    for (const std::uint64_t instance : packed)
+    {
+        instances.push_back(unpack_endpoint(instance));
+    }
+    return instances;
+}
+
 } // namespace
 
 control_client::control_client(boost::asio::io_context& io, std::vector<endpoint> instances,
@@ -105,6 +116,7 @@
     last_frame_at_ = steady_now();
     last_confirmed_at_ = steady_now();
     is_confirmed_ = false;
+    announced_instances_.reset();
     connection_->start([this](frame& received) { handle_frame(received); },
                        [this](const failure& why)
                        {
@@ -196,7 +208,8 @@
     }
     if (received.update)
     {
-        update_instances(received.update->instances);
+        announced_instances_ = unpack_instances(received.update->instances);
+        // An update to the generation that is held only carries the list of instances.
         const bool has_news =
             received.update->complete || received.update->held != held_generation_;
         const std::optional<table_update> update =
@@ -207,6 +220,12 @@
             on_update_(*update);
         }
     }
+    // One without contact to a leader may list instances that have been replaced long ago.
+    if (is_confirmed_ && announced_instances_)
+    {
+        instances_.update(*announced_instances_);
+        announced_instances_.reset();
+    }
     if (received.claimed && on_state_stored_)
     {
         std::exchange(on_state_stored_, nullptr)(true);
@@ -248,17 +267,6 @@
     }
 }
 
-void control_client::update_instances(const std::vector<std::uint64_t>& instances)
-{
-    std::vector<endpoint> known;
-    known.reserve(instances.size());
-    for (const std::uint64_t packed : instances)
-    {
-        known.push_back(unpack_endpoint(packed));
-    }
-    instances_.update(known);
-}
-
 void control_client::close_if_timed_out()
 {
     if (connection_ && (steady_now() - last_frame_at_ > silence_timeout ||
--- a/modules/carawayshelf_io/control_client.hpp
+++ b/modules/carawayshelf_io/control_client.hpp
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -84,7 +85,6 @@
     static void add_probe(frame& sent);
     void start_confirmation_timer();
     void leave_if_unconfirmed();
-    void update_instances(const std::vector<std::uint64_t>& instances);
     void schedule_heartbeat();
 
     boost::asio::io_context& io_;
@@ -100,6 +100,8 @@
     std::string service_;
     generation held_generation_ = 0; ///< Newest generation received for service_.
     bool is_confirmed_ = false;      ///< The instance has confirmed leader contact.
+    /** List of instances from this connection that waits for the confirmation. */
+    std::optional<std::vector<endpoint>> announced_instances_;
     confirmation_timeout confirmation_timeout_;
     std::shared_ptr<frame_connection> connection_;
     boost::asio::steady_timer retry_timer_;
--- a/modules/carawayshelf_io/control_daemon.cpp
+++ b/modules/carawayshelf_io/control_daemon.cpp
@@ -25,7 +25,7 @@
 
 /** Stops a control instance gracefully: accepts no new operator requests, answers the pending ones,
     leaves the voters if enough others remain, then stops the io_context. A second begin() stops at
-   once. All calls run on the io_context's thread. */
+    once. All calls run on the io_context's thread. */
 class graceful_stop
 {
 public:
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -18,12 +18,12 @@
 constexpr std::chrono::milliseconds tick_interval(10);
 constexpr std::chrono::milliseconds lease_interval(250);
 constexpr duration request_timeout = std::chrono::seconds(5);
+constexpr duration storage_retry_interval = std::chrono::milliseconds(250);
+
 /** Time without an active leader after which, and after each repetition of which, the leaderless
     handler is called; long enough for an election. */
 constexpr duration leaderless_timeout = std::chrono::seconds(1);
 
-constexpr duration storage_retry_interval = std::chrono::milliseconds(250);
-
 /** A connection on which nothing arrives for this long is closed; daemons and peers send several
     times a second. */
 constexpr duration idle_connection_timeout = std::chrono::seconds(10);
--- a/modules/carawayshelf_io/control_server_subscribers.cpp
+++ b/modules/carawayshelf_io/control_server_subscribers.cpp
@@ -77,8 +77,8 @@
     }
 }
 
-/** Notes a change of the voters, which daemons must learn even while no entry changes: all
-   instances that they know might be replaced before the next change. */
+/** Notes a change of the voters. Daemons must learn it even while no entry changes, since all
+    instances that they know might be replaced before the next change. */
 void control_server::note_instances()
 {
     if (core_->log().voters() != announced_voters_)
--- a/tests/unit/control_replacement_test.cpp
+++ b/tests/unit/control_replacement_test.cpp
@@ -112,6 +112,56 @@
         test_cluster.run_until([&fleet] { return fleet.confirmed() == daemon_fleet::size; }));
 }
 
+/** An instance that was frozen during replacements lists those that it knew, until it notices that
+   it has no leader. Daemons must not forget the present ones for that. */
+BOOST_AUTO_TEST_CASE(daemons_ignore_the_instances_listed_without_a_leader)
+{
+    cluster test_cluster;
+    BOOST_REQUIRE(test_cluster.replace_until_accepted(0, 1, "one"));
+    const endpoint outdated = {first_address + 6, test_cluster.control_port};
+    boost::asio::ip::tcp::acceptor acceptor(test_cluster.io, to_asio(outdated));
+    std::vector<std::shared_ptr<frame_connection>> accepted;
+    std::function<void()> accept_next = [&]
+    {
+        acceptor.async_accept(
+            [&](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket)
+            {
+                if (error)
+                {
+                    return;
+                }
+                accepted.push_back(std::make_shared<frame_connection>(std::move(socket)));
+                const std::weak_ptr<frame_connection> weak = accepted.back();
+                const auto answer = [weak, &test_cluster](frame& received)
+                {
+                    if (received.subscription)
+                    {
+                        frame sent;
+                        sent.update = std::make_unique<buffers::table_update_object>();
+                        sent.update->held = received.subscription->lease->held;
+                        sent.update->instances = {pack_endpoint(unused_address(test_cluster))};
+                        weak.lock()->send(sent);
+                    }
+                };
+                accepted.back()->start(answer, [](const failure& /*why*/) {});
+                accept_next();
+            });
+    };
+    accept_next();
+    const std::size_t first = test_cluster.leader();
+    daemon_fleet fleet(test_cluster.io, {test_cluster.all_settings[first].address}, 0);
+    fleet.start();
+    BOOST_REQUIRE(
+        test_cluster.run_until([&fleet] { return fleet.confirmed() == daemon_fleet::size; }));
+    fleet.set_configured_instances({outdated});
+    test_cluster.kill(first);
+    const std::size_t updates_before = fleet.updates();
+    BOOST_REQUIRE(test_cluster.replace_until_accepted((first + 1) % 3, 2, "two"));
+    BOOST_TEST(test_cluster.run_until(
+        [&] { return fleet.updates() >= updates_before + daemon_fleet::size; }));
+    BOOST_TEST(!accepted.empty());
+}
+
 /** A control instance that was cut off while all others were replaced knows none of them. */
 BOOST_AUTO_TEST_CASE(an_instance_without_a_leader_reads_the_seeds_again)
 {
