--- a/modules/carawayshelf_consensus/membership_manager.hpp
+++ b/modules/carawayshelf_consensus/membership_manager.hpp
@@ -34,7 +34,7 @@
     If instances discover each other, a voter that stays silent is removed as well, as long as 2f+1
     remain for f tolerated losses. These hold each record on f+1 disks, so that f disks can be lost
     while other voters are silent. With fewer voters, one disk less could be lost, although the
-   disks of the silent ones are intact.
+    silent ones still have theirs.
 
     A voter beyond 2f+1, whose successor in another slot votes already, counts towards the majority
     without contributing to it once it is gone, so that no other instance could be lost. It is
@@ -50,8 +50,7 @@
             discover each other. Only with 0 are voters that stay silent removed, as long as enough
             others remain.
         @param tolerated_losses  number of instances whose disks may be lost at the same time; 0 if
-            not stated, and the largest minority of the voters that this leader has seen is assumed
-     */
+            not stated: then the largest minority of the voters that this leader has seen */
     explicit membership_manager(std::size_t expected_instances, std::size_t tolerated_losses = 0);
 
     /** Sets the current identity of a slot, as its instance reported it. */
--- a/modules/carawayshelf_io/settings.hpp
+++ b/modules/carawayshelf_io/settings.hpp
@@ -88,7 +88,7 @@
 
 /** Reads only the addresses of the control instances from a settings file of any role, for a daemon
     that runs already. Other keys are not checked. On failure `loaded` doesn't change, and the
-   detail is that of load_settings(). Errors: invalid_settings. Thread-safe. */
+    detail is that of load_settings(). Errors: invalid_settings. Thread-safe. */
 failure load_control_addresses(const std::string& file, std::vector<endpoint>& loaded);
 
 } // namespace carawayshelf
--- a/tests/fakes/control_cluster.hpp
+++ b/tests/fakes/control_cluster.hpp
@@ -294,7 +294,7 @@
     }
 
     /** Sends a frame to an instance and runs for a while. Returns the reply to its request, if
-       there is one. */
+        there is one. */
     std::unique_ptr<buffers::reply_object> exchange(std::size_t index, const frame& sent)
     {
         std::unique_ptr<buffers::reply_object> reply;
--- a/tests/fakes/membership_simulation.hpp
+++ b/tests/fakes/membership_simulation.hpp
@@ -15,7 +15,7 @@
 {
 
 /** Control instances that discover each other, with fake disks, network and clock, whose machines
-   are lost and replaced at exact times. An instance is named by its position in the order in which
+    are lost and replaced at exact times. An instance is named by its position in the order in which
     they were added, from zero. Preconditions of all calls: the instance exists. */
 class membership_simulation
 {
@@ -35,7 +35,7 @@
     void silence(std::size_t position);
 
     /** Announces the planned stop of an instance, which ends once it has left the voters or
-       needn't, or after 3 s, as control_daemon does. Its disk stays. */
+        needn't, or after 3 s, as control_daemon does. Its disk stays. */
     void terminate(std::size_t position);
 
     bool is_running(std::size_t position) const;
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -351,9 +351,9 @@
 }
 
 /** A leader removes a voter, and loses its disk when only that voter has the record. The voter's
-   log is the newest, so that the others, which count it as a voter still, can't win without its
-   vote. It has to start the election itself, or the cluster has no leader for good (control
-   histories, seed 17100, with a leader that removes itself). */
+    log is the newest, so that the others, which count it as a voter still, can't win without its
+    vote. It has to start the election itself, or the cluster has no leader for good (control
+    histories, seed 17100, with a leader that removes itself). */
 BOOST_AUTO_TEST_CASE(a_removed_voter_that_alone_has_the_record_can_be_elected)
 {
     for (const bool leader_removes_itself : {false, true})
--- a/tests/unit/control_replacement_test.cpp
+++ b/tests/unit/control_replacement_test.cpp
@@ -1,6 +1,6 @@
 /** @file
     Control instances that are replaced by others at new addresses, with real sockets and disks:
-   what daemons and the other instances learn about them.
+    what daemons and the other instances learn about them.
 */
 #include "carawayshelf_io/control_address_source.hpp"
 #include "carawayshelf_io/daemon_signals.hpp"
@@ -58,7 +58,7 @@
 BOOST_AUTO_TEST_SUITE(control_replacements)
 
 /** review/6: daemons learned the addresses of control instances only with a change of their table,
-   so that they lost control for good when all instances were replaced between two changes. */
+    so that they lost control for good when all instances were replaced between two changes. */
 BOOST_AUTO_TEST_CASE(daemons_follow_instances_that_are_replaced_while_nothing_else_changes)
 {
     cluster test_cluster;
@@ -113,7 +113,7 @@
 }
 
 /** An instance that was frozen during replacements lists those that it knew, until it notices that
-   it has no leader. Daemons must not forget the present ones for that. */
+    it has no leader. Daemons must not forget the present ones for that. */
 BOOST_AUTO_TEST_CASE(daemons_ignore_the_instances_listed_without_a_leader)
 {
     cluster test_cluster;
@@ -188,8 +188,8 @@
 }
 
 /** review/10 with real sockets: the loss of a disk right after a planned replacement is borne,
-   since the replaced instance has left the voters before it ends. Without a successor it stays a
-   voter. */
+    since the replaced instance has left the voters before it ends. Without a successor it stays a
+    voter. */
 BOOST_AUTO_TEST_CASE(a_replaced_instance_leaves_the_voters_before_it_stops)
 {
     for (const bool leads : {false, true})
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -71,7 +71,7 @@
 
 /** Random losses and replacements, of which no more disks are lost at the same time than tolerated,
     while any number of other instances are dark. A lost disk counts until its instance or successor
-   has run for the catch-up time, with no more instances lost than tolerated. */
+    has run for the catch-up time, with no more instances lost than tolerated. */
 class random_losses
 {
 public:
@@ -246,7 +246,7 @@
 BOOST_AUTO_TEST_SUITE(membership)
 
 /** review/9: with two of five instances dark for more than 6 s, three voters were left, and the
-   loss of two of these disks left no majority for good, although three disks were whole. */
+    loss of two of these disks left no majority for good, although three disks were whole. */
 BOOST_AUTO_TEST_CASE(tolerated_disks_can_be_lost_while_as_many_instances_are_dark)
 {
     const struct
@@ -362,9 +362,9 @@
 }
 
 /** review/10: a replaced instance stayed the fourth voter until it had been silent for over a
-   second, so that the loss of one disk left two of four voters, for good. An instance that
-   announces its stop leaves the voters first, whichever leads and whichever is lost, at once or
-   later. */
+    second, so that the loss of one disk left two of four voters, for good. An instance that
+    announces its stop leaves the voters first, whichever leads and whichever is lost, at once or
+    later. */
 BOOST_AUTO_TEST_CASE(a_disk_can_be_lost_at_any_time_after_a_replaced_instance_is_told_to_stop)
 {
     for (const std::size_t tolerated : {std::size_t{1}, std::size_t{0}})
@@ -463,9 +463,9 @@
 }
 
 /** The first of two silent voters is gone for good and replaced, the second one has just lost
-   power. If the second were removed instead, its disk would be missing when two others are lost.
-   The instances that noticed lead one after the other, so that the last leader has led for no
-   longer than either was silent. */
+    power. If the second were removed instead, its disk would be missing when two others are lost.
+    The instances that noticed lead one after the other, so that the last leader has led for no
+    longer than either was silent. */
 BOOST_AUTO_TEST_CASE(of_two_silent_voters_the_first_one_gives_way_to_the_successor)
 {
     membership_simulation cluster(5, 2);
