A leader that has committed its own removal reads no discarded progress

Since an instance leaves the voters before it stops, a leader may commit its own removal. It steps down then and discards the progress of its followers, while handle_append_reply() still read that of the sender.

Found by the address sanitizer (heap-use-after-free) in consensus/a_removed_voter_that_alone_has_the_record_can_be_elected; no run of the release build had shown it. The function returns once this instance leads no more, which it did before only ahead of sending.

--- a/modules/carawayshelf_consensus/consensus_core.cpp
+++ b/modules/carawayshelf_consensus/consensus_core.cpp
@@ -647,10 +647,14 @@
     }
     confirm_reads();
     advance_commit(now);
+    if (role_ != consensus_role::leader)
+    {
+        return; // It committed its own removal, which discards the followers' progress.
+    }
     const bool has_unsent_data =
         progress.next_index <= log_.last_index() ||
         progress.sent_commit_index < std::min(commit_index_, progress.match_index);
-    if (role_ == consensus_role::leader && has_unsent_data && !progress.awaiting_reply)
+    if (has_unsent_data && !progress.awaiting_reply)
     {
         send_append(now, received.from, progress);
     }
