--- a/review/standins-3/site.hpp
+++ b/review/standins-3/site.hpp
@@ -7,6 +7,15 @@
 namespace stand
 {
 
+inline constexpr std::size_t max_data = 1200;
+
+/** A request's text may say how long its answer is: "... gives BYTES ...". */
+inline std::size_t size_of_answer(const std::string& request)
+{
+    const std::size_t at = request.find("gives ");
+    return at == std::string::npos ? 0 : std::strtoul(request.c_str() + at + 6, nullptr, 10);
+}
+
 struct side_machine
 {
     std::string name;
@@ -25,6 +34,7 @@
         std::size_t slots = 2;
         std::size_t queue = 8;
         ms heartbeat{770};
+        ms first_beat{0}; ///< After the start of the server.
         ms idle_close{12000};
     };
 
@@ -44,8 +54,11 @@
     {
         is_stopping_ = true;
         beats_.join();
-        ::close(udp_);
-        ::close(tcp_);
+        if (!has_ended_)
+        {
+            ::close(udp_);
+            ::close(tcp_);
+        }
     }
 
     bool is_good() const
@@ -60,6 +73,10 @@
     {
         return at_.name;
     }
+    const std::string& zone() const
+    {
+        return at_.zone;
+    }
     void drain()
     {
         is_draining_ = true;
@@ -82,8 +99,60 @@
         return answered_;
     }
 
+    /** Called with each opening packet that the server takes. */
+    std::function<void(const flow_key&)> on_taken;
+
+    const std::string& id() const
+    {
+        return id_;
+    }
+
+    /** Ends the server with its flows: nothing is read or sent any more. */
+    void end()
+    {
+        has_ended_ = true;
+        is_stopping_ = true;
+        record_.line("%s: server %s ends with %zu flows, %zu requests at work", at_.name.c_str(),
+                     id_.c_str(), flows_.size(), running_.size() + waiting_.size());
+        ::close(udp_);
+        ::close(tcp_);
+        udp_ = -1;
+        tcp_ = -1;
+        flows_.clear();
+        waiting_.clear();
+        running_.clear();
+    }
+
+    bool reads() const
+    {
+        return now() >= reads_from_;
+    }
+
+    /** Packets wait in the server's socket until then. */
+    void read_from(moment instant)
+    {
+        reads_from_ = instant;
+    }
+
+    std::uint64_t returned() const
+    {
+        return returned_;
+    }
+
+    void deregister() const
+    {
+        const int status = call_http({at_.ip, ports::control_plane}, "POST",
+                                     "/carawayshelf/Instances.Deregister/" + id_,
+                                     "{\"born\":" + std::to_string(born_) + "}", ms(1000));
+        record_.line("%s: server %s deregisters: %d", at_.name.c_str(), id_.c_str(), status);
+    }
+
     void run()
     {
+        if (has_ended_ || now() < reads_from_)
+        {
+            return;
+        }
         serve_health();
         std::string bytes;
         packet arrived;
@@ -106,8 +175,9 @@
         std::uint32_t next = 0;      ///< Next own seq.
         std::uint32_t confirmed = 0; ///< Own seq that the client has acknowledged.
         bool is_open = false;
-        int unacknowledged = 0; ///< Data packets since the last packet that acknowledged.
-        std::deque<packet> unconfirmed;
+        int unacknowledged = 0;         ///< Data packets since the last packet that acknowledged.
+        std::deque<packet> unconfirmed; ///< In flight.
+        std::deque<packet> outbox;      ///< Not sent yet.
         moment resend_at;
         int resent = 0;
         moment used_at;
@@ -161,6 +231,7 @@
             // page: any packet of a flow that the server does not hold, is returned to outbound
             // with BOUNCED set, with echo unchanged, and with pad set to 0.
             arrived.flags |= flag_bounced;
+            ++returned_;
             send_datagram(udp_, {at_.ip, ports::outbound}, encode(arrived));
             return;
         }
@@ -171,12 +242,7 @@
             known.is_open = true;
             record_.line("%s flow %s opens", at_.name.c_str(), text(key.first).c_str());
         }
-        while (!known.unconfirmed.empty() &&
-               arrived.ack == known.unconfirmed.front().seq +
-                                  static_cast<std::uint32_t>(known.unconfirmed.front().data.size()))
-        {
-            known.unconfirmed.pop_front();
-        }
+        take_acknowledgement(known, arrived.ack);
         if (arrived.has(flag_rst))
         {
             end(key);
@@ -193,6 +259,36 @@
         }
     }
 
+    /** page: each end has at most 16 packets in flight. */
+    void take_acknowledgement(flow& known, std::uint32_t ack)
+    {
+        while (!known.unconfirmed.empty() &&
+               static_cast<std::int32_t>(
+                   ack - known.unconfirmed.front().seq -
+                   static_cast<std::uint32_t>(known.unconfirmed.front().data.size())) >= 0)
+        {
+            known.unconfirmed.pop_front();
+            known.resent = 0;
+            known.resend_at = now() + ms(200);
+        }
+        send_window(known);
+    }
+
+    void send_window(flow& known)
+    {
+        while (!known.outbox.empty() && known.unconfirmed.size() < 16)
+        {
+            if (known.unconfirmed.empty())
+            {
+                known.resent = 0;
+                known.resend_at = now() + ms(200);
+            }
+            known.unconfirmed.push_back(known.outbox.front());
+            known.outbox.pop_front();
+            send_datagram(udp_, {at_.ip, ports::outbound}, encode(known.unconfirmed.back()));
+        }
+    }
+
     void handle_opening(const flow_key& key, packet& arrived)
     {
         const auto found = flows_.find(key);
@@ -206,6 +302,10 @@
             added.expected = arrived.seq + 1;
             added.used_at = now();
             ended_.erase(key);
+            if (on_taken)
+            {
+                on_taken(key);
+            }
         }
         flow& known = flows_[key];
         if (!known.is_open)
@@ -276,17 +376,25 @@
         }
     }
 
-    void answer(const flow_key& key, flow& known, const std::string& content)
+    void answer(const flow_key& key, flow& known, std::string content)
     {
         known.unacknowledged = 0;
-        packet sent = send(key, flag_ack, known.next, known.expected, content);
-        known.next += static_cast<std::uint32_t>(content.size());
-        if (known.unconfirmed.empty())
+        content.resize(std::max(content.size(), size_of_answer(content)), '.');
+        for (std::size_t offset = 0; offset < content.size(); offset += max_data)
         {
-            known.resent = 0;
-            known.resend_at = now() + ms(200);
+            packet part;
+            part.source = key.second;
+            part.destination = key.first;
+            part.data = content.substr(offset, max_data);
+            const bool is_last = offset + max_data >= content.size();
+            // page: a draining server closes each flow after its next response.
+            part.flags = is_last && is_draining_ ? flag_ack | flag_fin : flag_ack;
+            part.seq = known.next;
+            part.ack = known.expected;
+            known.next += static_cast<std::uint32_t>(part.data.size());
+            known.outbox.push_back(part);
         }
-        known.unconfirmed.push_back(sent);
+        send_window(known);
     }
 
     /** page: missing packets are retransmitted after 200 ms, and the interval doubles up to 1.6 s.
@@ -344,7 +452,7 @@
     void beat()
     {
         std::uint64_t seq = 0;
-        moment due = now();
+        moment due = now() + options_.first_beat;
         while (!is_stopping_)
         {
             if (now() < due)
@@ -364,9 +472,11 @@
             const int status =
                 call_http({at_.ip, ports::control_plane}, "POST",
                           "/carawayshelf/Instances.Heartbeat/" + id_, body, ms(1000));
-            if (draining && status == 200)
+            if (draining && status == 200 && !drain_acknowledged_)
             {
                 drain_acknowledged_ = true;
+                record_.line("%s: draining of server %s is acknowledged", at_.name.c_str(),
+                             id_.c_str());
             }
         }
     }
@@ -384,6 +494,9 @@
     std::deque<job> waiting_;
     std::vector<job> running_;
     std::uint64_t answered_ = 0;
+    bool has_ended_ = false;
+    moment reads_from_;
+    std::uint64_t returned_ = 0;
     std::atomic<bool> is_stopping_{false};
     std::atomic<bool> is_draining_{false};
     std::atomic<bool> drain_acknowledged_{false};
@@ -494,16 +607,31 @@
     /** Called with each reset of the system on an open flow. */
     std::function<void(const flow_key&)> on_reset;
 
-    std::uint16_t open()
+    /** Opens a flow.
+        @param only_request  if given, it is sent once the flow is open, and the flow is closed
+       after its answer */
+    std::uint16_t open(const std::string& only_request = "", ms patience = ms(500))
     {
         const std::uint16_t port = next_port_++;
         flow& added = flows_[port];
+        added.only_request = only_request;
+        added.patience = patience;
+        added.opened_at = now();
         added.next = 1000U + port * 77777U;
         added.begun_at = now();
         added.due = now();
         return port;
     }
 
+    std::uint16_t next_port() const
+    {
+        return next_port_;
+    }
+    void skip_port()
+    {
+        ++next_port_;
+    }
+
     /** Sends a request on an open flow. Returns false if the flow isn't open or is busy. */
     bool request(std::uint16_t port, const std::string& content, ms deadline)
     {
@@ -515,6 +643,7 @@
         flow& known = found->second;
         known.is_waiting = true;
         known.content = content;
+        known.answer.clear();
         known.sequence = known.next;
         known.next += static_cast<std::uint32_t>(content.size());
         known.is_confirmed = false;
@@ -544,6 +673,13 @@
                            [](const auto& item) { return item.second.is_waiting; });
     }
 
+    /** When the client of a flow sent its first opening packet. */
+    moment opened_at(std::uint16_t port) const
+    {
+        const auto found = flows_.find(port);
+        return found == flows_.end() ? moment() : found->second.opened_at;
+    }
+
     const std::vector<request_state>& results() const
     {
         return results_;
@@ -578,8 +714,12 @@
         std::uint32_t sequence = 0;
         std::uint32_t expected = 0; ///< Next seq of the server.
         std::string content;
+        std::string answer; ///< What has arrived of it.
+        std::string only_request;
+        ms patience{500};
         int tries = 0;
         int unacknowledged = 0;
+        moment opened_at;
         moment begun_at;
         moment due;
         moment deadline;
@@ -598,6 +738,7 @@
             if (known.tries == 3)
             {
                 record_.line("client %u: no SYN+ACK, the attempt ends", port);
+                results_.push_back({known.only_request, "not opened"});
                 flows_.erase(port);
                 return;
             }
@@ -612,6 +753,10 @@
         if (instant >= known.deadline)
         {
             finish(port, known, "no answer");
+            if (!known.only_request.empty())
+            {
+                flows_.erase(port);
+            }
             return;
         }
         if (!known.is_confirmed && instant >= known.due)
@@ -649,6 +794,10 @@
                 known.next += 1;
                 known.expected = arrived.seq + 1;
                 send(port, flag_ack, known.next, known.expected, "");
+                if (!known.only_request.empty())
+                {
+                    request(port, known.only_request, known.patience);
+                }
             }
             return;
         }
@@ -658,22 +807,32 @@
             if (arrived.seq == known.expected)
             {
                 known.expected += static_cast<std::uint32_t>(arrived.data.size());
-                if (known.is_waiting && arrived.data == "done " + known.content)
+                known.answer += arrived.data;
+                const std::string full = "done " + known.content;
+                const std::size_t size = std::max(full.size(), size_of_answer(known.content));
+                if (known.is_waiting && known.answer.size() >= size &&
+                    known.answer.compare(0, full.size(), full) == 0)
                 {
                     finish(port, known, "answered");
                 }
-                else if (known.is_waiting)
+                else if (known.is_waiting && known.answer == "shed")
                 {
-                    finish(port, known, arrived.data);
+                    finish(port, known, "shed");
                 }
             }
             // page: each end acknowledges every second packet.
-            if (++known.unacknowledged >= 2 || arrived.seq != known.expected)
+            if (++known.unacknowledged >= 2)
             {
                 known.unacknowledged = 0;
                 send(port, flag_ack, known.next, known.expected, "");
             }
         }
+        if (!known.only_request.empty() && !known.is_waiting && known.next > known.sequence)
+        {
+            send(port, flag_ack | flag_fin, known.next, known.expected, "");
+            flows_.erase(port);
+            return;
+        }
         if (arrived.has(flag_fin))
         {
             send(port, flag_ack | flag_fin, known.next, arrived.seq + 1, "");
@@ -698,6 +857,10 @@
         {
             finish(port, known, "reset");
         }
+        else if (!was_open)
+        {
+            results_.push_back({known.only_request, "refused"});
+        }
         flows_.erase(port);
         if (was_open && is_of_system && on_reset)
         {
