--- a/review/standins-3/site.hpp
+++ b/review/standins-3/site.hpp
@@ -951,15 +951,22 @@
         const std::string name = "core-" + std::to_string(number);
         const std::string own = ip_text(ip(1, number));
         daemons_.write_settings(
-            name, "[control]\naddress = " + own + ":" + std::to_string(ports::internal) +
-                      "\nseeds = " + seeds() + "\nport = " + std::to_string(ports::internal) +
-                      "\nfirst_start = " + (is_first_start ? "true" : "false") +
-                      "\norders_address = " + own + ":" + std::to_string(ports::control_plane) +
-                      "\ndomains = zone-a,zone-b,zone-c\ntolerated_losses = 1\ndata_folder = " +
-                      folder_ + "/" + name + ".data\n" + metrics(own));
+            name,
+            "[control]\naddress = " + own + ":" + std::to_string(ports::internal) +
+                "\nseeds = " + seeds() + "\nport = " + std::to_string(ports::internal) +
+                "\nfirst_start = " + (is_first_start ? "true" : "false") +
+                "\norders_address = " + own + ":" + std::to_string(ports::control_plane) +
+                "\ndomains = zone-a,zone-b,zone-c\ntolerated_losses = 1\ndata_folder = " + folder_ +
+                "/" + name + ".data" + std::to_string(lost_disks_[number]) + "\n" + metrics(own));
         daemons_.start(name, "control");
     }
 
+    /** The next start of a core machine finds an empty disk. */
+    void lose_disk(std::uint32_t number)
+    {
+        ++lost_disks_[number];
+    }
+
     void start_edge(std::uint32_t number)
     {
         const std::string name = "edge-" + std::to_string(number);
@@ -1036,6 +1043,7 @@
     }
 
     std::uint32_t network_;
+    std::map<std::uint32_t, int> lost_disks_;
     processes daemons_;
     std::string folder_;
 };
