--- a/review/standins-3/stand.hpp
+++ b/review/standins-3/stand.hpp
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -265,6 +266,7 @@
         item.pid = ::fork();
         if (item.pid == 0)
         {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // Also if this program is ended.
             const int out = ::open(item.log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
