--- a/review/standins-3/frozen_edge.cpp
+++ b/review/standins-3/frozen_edge.cpp
@@ -87,14 +87,15 @@
     {
         ++network;
     }
-    char folder[] = "/tmp/review.XXXXXX";
-    if (::mkdtemp(folder) == nullptr)
+    const std::string folder = make_folder();
+    if (folder.empty())
     {
         return 2;
     }
     int result = 2;
     {
         site place(program, folder, network);
+        place.daemons().log_to(record);
         std::mutex lock;
         std::mutex daemons_lock;
         std::vector<std::unique_ptr<server>> servers;
--- a/review/standins-3/odd_heartbeat.cpp
+++ b/review/standins-3/odd_heartbeat.cpp
@@ -68,14 +68,15 @@
     {
         ++network;
     }
-    char folder[] = "/tmp/review.XXXXXX";
-    if (::mkdtemp(folder) == nullptr)
+    const std::string folder = make_folder();
+    if (folder.empty())
     {
         return 2;
     }
     int result = 2;
     {
         site place(program, folder, network);
+        place.daemons().log_to(record);
         std::mutex lock;
         std::vector<std::unique_ptr<server>> servers;
         std::vector<std::uint32_t> edges;
--- a/review/standins-3/removed_core.cpp
+++ b/review/standins-3/removed_core.cpp
@@ -20,14 +20,15 @@
     {
         ++network;
     }
-    char folder[] = "/tmp/review.XXXXXX";
-    if (::mkdtemp(folder) == nullptr)
+    const std::string folder = make_folder();
+    if (folder.empty())
     {
         return 2;
     }
     int result = 2;
     {
         site place(program, folder, network);
+        place.daemons().log_to(record);
         const auto pause = [](ms span)
         {
             std::this_thread::sleep_for(span);
--- a/review/standins-3/stand.hpp
+++ b/review/standins-3/stand.hpp
@@ -215,6 +215,13 @@
     return std::atoi(received.c_str() + 9);
 }
 
+/** Creates a temporary folder, in TMPDIR if that is set. Empty if that fails. */
+inline std::string make_folder()
+{
+    std::string path = (std::filesystem::temp_directory_path() / "review.XXXXXX").string();
+    return ::mkdtemp(path.data()) == nullptr ? std::string() : path;
+}
+
 /** A process of the project. */
 struct process
 {
@@ -246,6 +253,12 @@
         }
     }
 
+    /** Names each process that is started in the record. */
+    void log_to(record_file& record)
+    {
+        record_ = &record;
+    }
+
     void write_settings(const std::string& name, const std::string& content)
     {
         std::ofstream(folder_ + "/" + name + ".ini") << content;
@@ -273,6 +286,10 @@
             ::execv(arguments[0], arguments.data());
             ::_exit(127);
         }
+        if (record_ != nullptr)
+        {
+            record_->line("start  %s (pid %d)", name.c_str(), static_cast<int>(item.pid));
+        }
     }
 
     void signal(const std::string& name, int number)
@@ -326,6 +343,7 @@
 private:
     std::string program_;
     std::string folder_;
+    record_file* record_ = nullptr;
     std::map<std::string, process> items_;
 };
 
