An agent no longer uses a flow that the end of its server has erased

Cause: handle_returned_packet() kept an iterator to the packet's flow while handle_return_after_restart() took all flows of the ended server out of the table. If the packet was too old for a valid reset, the flow was erased again.

The flow is now erased by its key after the restart has been handled. What confirms a restart is a function of its own, and loops continue from what erase_flow() returns, so that no iterator outlives a call that erases flows.

--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -220,14 +220,17 @@
     void end_abandoned_requests(time_point now);
     void start_request(time_point now, flow& item);
     void end_request(time_point now, flow& item, bool was_answered);
-    void erase_flow(time_point now, flow_map::iterator item);
+    bool is_accepted(const packet_flow& key) const;
+    flow_map::iterator erase_flow(time_point now, flow_map::iterator item);
+    void erase_flow(time_point now, const packet_flow& key);
     void erase_idle_flows(time_point now);
 
     // Flows of a backend server that has ended, in packet_agent_sessions.cpp.
     void note_announcement(time_point now, const backend_server_state::announcement_result& result);
     void note_server_packet(time_point now, const packet_header& header, flow& item);
-    bool handle_return_after_restart(time_point now, const packet_flow& key,
-                                     const packet_envelope* envelope, const client_packet& packet);
+    bool confirms_restart(time_point now, const client_packet& returned);
+    bool handle_return_after_restart(time_point now, const packet_envelope* envelope,
+                                     const client_packet& packet);
     void handle_server_alive(time_point now);
     void end_sessions(time_point now, time_point openings_until);
     bool reset_ended_flow(time_point now, const packet_envelope& envelope,
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -209,20 +209,16 @@
 void packet_agent::handle_returned_packet(time_point now, const client_packet& packet)
 {
     const packet_envelope* envelope = delivered_envelopes_.find(packet.header.mark);
-    const auto known = flows_.find(packet.flow());
-    if (packet.header.is_opening && known != flows_.end() && known->second.is_accepted)
+    if (packet.header.is_opening && is_accepted(packet.flow()))
     {
         drop_packet(packet_drop::too_late, packet_envelope{}, packet.header);
         return; // A copy; the server still holds the flow that it accepted.
     }
-    if (handle_return_after_restart(now, packet.flow(), envelope, packet))
+    if (handle_return_after_restart(now, envelope, packet))
     {
         return;
     }
-    if (known != flows_.end())
-    {
-        erase_flow(now, known);
-    }
+    erase_flow(now, packet.flow());
     packet.header.is_opening ? pace_monitor_.record_returned_opening(now)
                              : returned_flows_.add(now, packet.flow());
     const packet_route* route = table_->find_route(packet.header.destination);
@@ -452,10 +448,27 @@
     }
 }
 
-void packet_agent::erase_flow(time_point now, flow_map::iterator item)
+bool packet_agent::is_accepted(const packet_flow& key) const
+{
+    const auto found = flows_.find(key);
+    return found != flows_.end() && found->second.is_accepted;
+}
+
+/** Returns the flow after the erased one. */
+packet_agent::flow_map::iterator packet_agent::erase_flow(time_point now, flow_map::iterator item)
 {
     end_request(now, item->second, false);
-    flows_.erase(item);
+    return flows_.erase(item);
+}
+
+/** Has no effect if the flow is not in the table. */
+void packet_agent::erase_flow(time_point now, const packet_flow& key)
+{
+    const auto found = flows_.find(key);
+    if (found != flows_.end())
+    {
+        erase_flow(now, found);
+    }
 }
 
 void packet_agent::tick(time_point now)
@@ -477,8 +490,7 @@
         std::max(idle_flow_lifetime, table_->idle_timeout() + idle_timeout_allowance);
     for (auto item = flows_.begin(); item != flows_.end();)
     {
-        const auto current = item++;
-        flow& known = current->second;
+        flow& known = item->second;
         const duration age = now - known.last_used;
         const bool is_closed = known.client_finished && known.server_finished;
         if (failures_.record_if_silent(now, known.caller_domain, known.request) ||
@@ -486,10 +498,8 @@
         {
             end_request(now, known, false);
         }
-        if (age > (is_closed ? closed_flow_lifetime : idle_lifetime))
-        {
-            erase_flow(now, current);
-        }
+        const bool is_expired = age > (is_closed ? closed_flow_lifetime : idle_lifetime);
+        item = is_expired ? erase_flow(now, item) : std::next(item);
     }
 }
 
--- a/modules/carawayshelf_packets/packet_agent_sessions.cpp
+++ b/modules/carawayshelf_packets/packet_agent_sessions.cpp
@@ -53,22 +53,32 @@
     }
 }
 
-/** Handles a packet that the backend server has returned. If that confirms its restart, resets the
-    flow and returns true.
-    @param envelope  that carried the packet, or nullptr */
-bool packet_agent::handle_return_after_restart(time_point now, const packet_flow& key,
-                                               const packet_envelope* envelope,
-                                               const client_packet& packet)
+/** Whether a packet that the backend server has returned confirms its restart. */
+bool packet_agent::confirms_restart(time_point now, const client_packet& returned)
 {
-    const auto found = flows_.find(key);
+    const auto found = flows_.find(returned.flow());
+    if (returned.header.is_opening || found == flows_.end())
+    {
+        return false;
+    }
+    const flow& known = found->second;
     const duration idle_timeout = table_->idle_timeout();
     const duration max_idle = idle_timeout == duration(0)
                                   ? max_idle_before_return
                                   : std::min(max_idle_before_return, idle_timeout / 2);
-    if (envelope == nullptr || packet.header.is_opening || found == flows_.end() ||
-        found->second.client_finished || found->second.server_finished ||
-        now - found->second.answered_at > max_idle ||
-        !restart_detector_.confirm_by_return(found->second.opening_given_at))
+    return !known.client_finished && !known.server_finished &&
+           now - known.answered_at <= max_idle &&
+           restart_detector_.confirm_by_return(known.opening_given_at);
+}
+
+/** Handles a packet that the backend server has returned. If it confirms the server's restart,
+    takes all flows of the ended server out of the flow table, and its own with them. Returns
+    whether its flow was reset.
+    @param envelope  that carried the packet, or nullptr */
+bool packet_agent::handle_return_after_restart(time_point now, const packet_envelope* envelope,
+                                               const client_packet& packet)
+{
+    if (envelope == nullptr || !confirms_restart(now, packet))
     {
         return false;
     }
@@ -111,27 +121,26 @@
     std::size_t left_out = 0;
     for (auto item = flows_.begin(); item != flows_.end();)
     {
-        const auto current = item++;
-        const flow& known = current->second;
+        const auto& [key, known] = *item;
         if (known.opening_given_at > openings_until || known.state == flow_state::searching)
         {
             ++left_out;
+            ++item;
             continue;
         }
-        const packet_route* route = table_->find_route(current->first.service);
+        const packet_route* route = table_->find_route(key.service);
         const bool is_idempotent =
             route == nullptr || route->requests != request_class::non_idempotent;
         // A server may accept a late copy of an opening packet whose flow is at another server. One
         // that has sent data has got a packet of the client that was meant for it.
         if (known.answered_at != time_point() && known.acknowledged && !known.client_finished &&
             !known.server_finished &&
-            ended_sessions_.add(
-                now, {current->first, *known.acknowledged, is_idempotent, known.last_used}))
+            ended_sessions_.add(now, {key, *known.acknowledged, is_idempotent, known.last_used}))
         {
             ++found;
             non_idempotent += is_idempotent ? 0 : 1;
         }
-        erase_flow(now, current);
+        item = erase_flow(now, item);
     }
     if (found != 0)
     {
--- a/tests/unit/ended_sessions_agent_test.cpp
+++ b/tests/unit/ended_sessions_agent_test.cpp
@@ -213,7 +213,13 @@
     /** The backend server returns the packet that it got last. */
     void return_last()
     {
-        test_packets::layout packet = test_packets::read(to_server.back());
+        return_packet(to_server.size() - 1);
+    }
+
+    /** The backend server returns one of the packets that it got. */
+    void return_packet(std::size_t position)
+    {
+        test_packets::layout packet = test_packets::read(to_server[position]);
         packet.header.is_returned = true;
         std::string bytes = test_packets::encode(packet);
         core->handle_server_packet(now, bytes.data(), bytes.size());
@@ -569,6 +575,27 @@
     BOOST_TEST(fixture.resets.size() == 3U);
 }
 
+/** Guards against the use of an erased flow (review/11): the returned packet confirms the restart,
+    which takes its own flow out of the table, but is too old to be reset. */
+BOOST_AUTO_TEST_CASE(a_returned_packet_that_is_too_old_for_a_reset_is_passed_on)
+{
+    sessions_fixture fixture;
+    fixture.run_server_with_sessions(3);
+    fixture.advance(interval);
+    fixture.announce(2);
+    const std::uint32_t newest = sessions_fixture::acknowledged_by(2001);
+    fixture.send_open_packet(2001, newest - 100800);
+    const std::size_t late_copy = fixture.to_server.size() - 1;
+    fixture.send_open_packet(2001, newest);
+    fixture.envelopes.clear();
+    fixture.return_packet(late_copy);
+    BOOST_TEST(fixture.core->flow_count() == 0U);
+    BOOST_TEST(fixture.core->load() == 0U);
+    BOOST_REQUIRE(!fixture.envelopes.empty());
+    BOOST_TEST((fixture.envelopes.back().to == other_data));
+    BOOST_TEST((fixture.envelopes.back().envelope.kind == packet_envelope_kind::inquiry));
+}
+
 /** A returned packet alone is a hint only, and says nothing of a flow that was closed, that the
     server may have discarded, or that it never accepted. */
 BOOST_AUTO_TEST_CASE(a_returned_packet_that_proves_nothing_resets_no_other_session)
