A late copy no longer makes the reset of an ended session invalid

Clients whose server had ended ignored the agent's reset, and found out by their next retransmission, if a late copy of an earlier packet had passed the agent last: the reset was based on the number of that copy, which can be more than 76,800 too low. If the server returned the late copy first, the session was forgotten and not reset at all.

The agent keeps the highest acknowledgement number of a flow. A returned packet that is too old for a reset is passed on as before, but leaves the session.

--- a/modules/carawayshelf_packets/ended_sessions.cpp
+++ b/modules/carawayshelf_packets/ended_sessions.cpp
@@ -55,6 +55,13 @@
     return due;
 }
 
+bool ended_sessions::matches(const packet_flow& flow, std::uint32_t acknowledged) const
+{
+    const auto found = sessions_.find(flow);
+    return found != sessions_.end() &&
+           is_within_reset_window(acknowledged, found->second.session.acknowledged);
+}
+
 bool ended_sessions::handle_packet(time_point now, const packet_flow& flow,
                                    std::uint32_t acknowledged)
 {
@@ -63,7 +70,7 @@
     {
         return false;
     }
-    if (!is_within_reset_window(acknowledged, found->second.session.acknowledged))
+    if (!matches(flow, acknowledged))
     {
         forget(flow);
         return false;
--- a/modules/carawayshelf_packets/ended_sessions.hpp
+++ b/modules/carawayshelf_packets/ended_sessions.hpp
@@ -20,7 +20,7 @@
 struct ended_session
 {
     packet_flow flow;
-    std::uint32_t acknowledged = 0; ///< By the last packet of the client that passed.
+    std::uint32_t acknowledged = 0; ///< Highest number that a packet of the client had.
     bool is_idempotent = true;      ///< Requests on its route may be repeated.
     time_point last_used;
 };
@@ -70,6 +70,10 @@
         first, then the most recently used ones. To be called once per tick. */
     std::vector<ended_session> take_due(time_point now);
 
+    /** Whether the flow waits for its reset or was reset, and a reset of a packet with this
+        acknowledgement number is valid. */
+    bool matches(const packet_flow& flow, std::uint32_t acknowledged) const;
+
     /** Handles a client's packet that is not an opening packet. Returns whether it is to be reset:
         its flow is in here or was reset. A packet whose acknowledgement number is too far from that
         of the flow belongs to another flow between the same addresses; the ended one is forgotten.
--- a/modules/carawayshelf_packets/packet_agent.cpp
+++ b/modules/carawayshelf_packets/packet_agent.cpp
@@ -226,6 +226,7 @@
     placed.caller_domain = envelope.caller_domain;
     placed.last_used = now;
     placed.opening_given_at = now;
+    placed.acknowledged.reset(); // Of an earlier flow between the same addresses.
     start_request(now, placed);
     ++counters_.placed;
     notify_balancer(now, packet_envelope_kind::holder, packet.flow(), envelope);
--- a/modules/carawayshelf_packets/packet_agent.hpp
+++ b/modules/carawayshelf_packets/packet_agent.hpp
@@ -160,7 +160,7 @@
         time_point searching_since;  ///< When the server was given its first packet.
         time_point opening_given_at; ///< When the server was last given its opening packet, or
                                      ///< later: when the flow became known.
-        std::optional<std::uint32_t> acknowledged; ///< By the client's last packet.
+        std::optional<std::uint32_t> acknowledged; ///< Highest number of the client's packets.
         request_watch request;
     };
 
@@ -220,6 +220,7 @@
     void end_abandoned_requests(time_point now);
     void start_request(time_point now, flow& item);
     void end_request(time_point now, flow& item, bool was_answered);
+    static void note_acknowledged(flow& item, std::uint32_t acknowledged);
     bool is_accepted(const packet_flow& key) const;
     flow_map::iterator erase_flow(time_point now, flow_map::iterator item);
     void erase_flow(time_point now, const packet_flow& key);
--- a/modules/carawayshelf_packets/packet_agent_flows.cpp
+++ b/modules/carawayshelf_packets/packet_agent_flows.cpp
@@ -124,7 +124,7 @@
     }
     flow& item = found->second;
     item.last_used = now;
-    item.acknowledged = packet.header.acknowledged;
+    note_acknowledged(item, packet.header.acknowledged);
     const bool is_inquiry = envelope.kind == packet_envelope_kind::inquiry;
     item.must_report_holder = item.must_report_holder || is_inquiry || envelope.position > 0;
     item.inquiring_agent = is_inquiry ? envelope.candidates[0] : item.inquiring_agent;
@@ -448,6 +448,15 @@
     }
 }
 
+/** Keeps the highest number: copies of earlier packets may be late. Numbers wrap around. */
+void packet_agent::note_acknowledged(flow& item, std::uint32_t acknowledged)
+{
+    if (!item.acknowledged || static_cast<std::int32_t>(acknowledged - *item.acknowledged) > 0)
+    {
+        item.acknowledged = acknowledged;
+    }
+}
+
 bool packet_agent::is_accepted(const packet_flow& key) const
 {
     const auto found = flows_.find(key);
--- a/modules/carawayshelf_packets/packet_agent_sessions.cpp
+++ b/modules/carawayshelf_packets/packet_agent_sessions.cpp
@@ -86,7 +86,9 @@
     {
         end_sessions(now, *openings_until);
     }
-    return reset_ended_flow(now, *envelope, packet);
+    // A late copy may be too old for a valid reset; its flow is reset with the others then.
+    return ended_sessions_.matches(packet.flow(), packet.header.acknowledged) &&
+           reset_ended_flow(now, *envelope, packet);
 }
 
 /** A server lives, or has sent something shortly before its end, whose end was announced: its flows
--- a/tests/unit/ended_sessions_agent_test.cpp
+++ b/tests/unit/ended_sessions_agent_test.cpp
@@ -596,6 +596,37 @@
     BOOST_TEST((fixture.envelopes.back().envelope.kind == packet_envelope_kind::inquiry));
 }
 
+/** Guards against resets that the client ignores because a late copy of an earlier packet passed
+    last, and against a session that is forgotten because the server returns that copy first. */
+BOOST_AUTO_TEST_CASE(late_copies_do_not_make_the_reset_of_an_ended_session_invalid)
+{
+    for (const bool is_copy_last : {false, true})
+    {
+        for (const std::size_t returned : {std::size_t{1}, std::size_t{2}})
+        {
+            sessions_fixture fixture;
+            fixture.run_server_with_sessions(3);
+            fixture.advance(interval);
+            fixture.announce(2);
+            const std::uint32_t newest = sessions_fixture::acknowledged_by(2001);
+            fixture.send_open_packet(2001, is_copy_last ? newest : newest - 100800);
+            fixture.send_open_packet(2001, is_copy_last ? newest - 100800 : newest);
+            fixture.return_packet(fixture.to_server.size() - returned);
+            fixture.advance(packet_agent::tick_interval);
+            BOOST_TEST_CONTEXT("late copy last: " << is_copy_last << ", returned: " << returned
+                                                  << " before the end")
+            {
+                const bool is_valid =
+                    std::any_of(fixture.resets.begin(), fixture.resets.end(),
+                                [newest](const sent_reset& reset)
+                                { return reset.client_port == 2001 && reset.sequence == newest; });
+                BOOST_TEST(is_valid);
+                BOOST_TEST(fixture.resets.size() == 3U);
+            }
+        }
+    }
+}
+
 /** A returned packet alone is a hint only, and says nothing of a flow that was closed, that the
     server may have discarded, or that it never accepted. */
 BOOST_AUTO_TEST_CASE(a_returned_packet_that_proves_nothing_resets_no_other_session)
