An instance can go while another one loses its disk: known losses count in quorums

Two of four voters are left, and neither of the others ever votes again.

Cause: a quorum was a number of voters. That the identity on a lost disk never acts again, which its slot's new instance proves, didn't count.

Now one half of an even number of voters is a quorum if each member knew, when it agreed, that the same other voter had lost its disk. Two such halves can't decide beside each other, by the order of their losses (voter_quorum.hpp). The new instance tells the others which voters it has replaced; votes, acknowledgements and confirmed reads carry what their sender knew. A change of the voters takes a quorum of the old ones as well until it is known to be committed, and the leader repeats the list then. Losses count once all voters' builds count them.

--- a/modules/carawayshelf_consensus/carawayshelf_consensus.hpp
+++ b/modules/carawayshelf_consensus/carawayshelf_consensus.hpp
@@ -19,3 +19,4 @@
 #include "carawayshelf_consensus/message.hpp"
 #include "carawayshelf_consensus/order_fence.hpp"
 #include "carawayshelf_consensus/replicated_log.hpp"
+#include "carawayshelf_consensus/voter_quorum.hpp"
--- a/modules/carawayshelf_consensus/consensus_core.cpp
+++ b/modules/carawayshelf_consensus/consensus_core.cpp
@@ -1,6 +1,7 @@
 #include "carawayshelf_consensus/consensus_core.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace carawayshelf
@@ -12,6 +13,14 @@
 /** Time without a reply after which a snapshot is sent again. */
 constexpr duration snapshot_resend_interval = std::chrono::seconds(2);
 
+/** Lost identities that an instance remembers; those that are not voters are forgotten first. */
+constexpr std::size_t max_known_losses = 64;
+
+bool contains(const std::vector<instance_id>& instances, instance_id searched)
+{
+    return std::find(instances.begin(), instances.end(), searched) != instances.end();
+}
+
 } // namespace
 
 consensus_core::consensus_core(const consensus_settings& settings, const stored_state& stored,
@@ -44,13 +53,12 @@
 
 bool consensus_core::is_voter() const
 {
-    const std::vector<instance_id>& voters = log_.voters();
-    return std::find(voters.begin(), voters.end(), identity_) != voters.end();
+    return contains(log_.voters(), identity_);
 }
 
 bool consensus_core::has_active_leader(time_point now) const
 {
-    return role_ == consensus_role::leader ? is_quorum(live_voters(now).size())
+    return role_ == consensus_role::leader ? is_quorum(live_followers(now))
                                            : has_recent_leader(now);
 }
 
@@ -99,9 +107,95 @@
     return live;
 }
 
-bool consensus_core::is_quorum(std::size_t count) const
+/** The lists of voters that must each agree: the old voters as well while their change may be
+    uncommitted. */
+std::vector<voter_list> consensus_core::voter_lists() const
+{
+    std::vector<voter_list> lists = {log_.newest_voters()};
+    if (log_.voters_index() > commit_index_)
+    {
+        voter_list previous = log_.previous_voters();
+        if (!previous.voters.empty() && previous.voters != log_.voters())
+        {
+            lists.push_back(std::move(previous));
+        }
+    }
+    return lists;
+}
+
+std::vector<instance_id> consensus_core::deciding_voters() const
+{
+    std::vector<instance_id> all;
+    for (const voter_list& list : voter_lists())
+    {
+        for (const instance_id voter : list.voters)
+        {
+            if (!contains(all, voter))
+            {
+                all.push_back(voter);
+            }
+        }
+    }
+    return all;
+}
+
+bool consensus_core::is_quorum(const agreement& agreeing) const
+{
+    const std::vector<voter_list> lists = voter_lists();
+    return std::all_of(lists.begin(), lists.end(),
+                       [&agreeing](const voter_list& list)
+                       { return is_quorum_of(list, agreeing); });
+}
+
+/** This instance and the followers for which the predicate is true. */
+agreement
+consensus_core::with_followers(const std::function<bool(const follower_progress&)>& agrees) const
 {
-    return count > log_.voters().size() / 2;
+    agreement agreeing;
+    agreeing[identity_] = known_losses_;
+    for (const auto& [id, progress] : followers_)
+    {
+        if (agrees(progress))
+        {
+            agreeing[id] = progress.known_losses;
+        }
+    }
+    return agreeing;
+}
+
+agreement consensus_core::live_followers(time_point now) const
+{
+    return with_followers([this, now](const follower_progress& progress)
+                          { return now - progress.heard_at < settings_.election_timeout; });
+}
+
+void consensus_core::note_loss(instance_id lost)
+{
+    if (lost == identity_)
+    {
+        return;
+    }
+    if (known_losses_.size() >= max_known_losses)
+    {
+        const std::vector<instance_id> voters = deciding_voters();
+        for (auto known = known_losses_.begin(); known != known_losses_.end();)
+        {
+            known = contains(voters, *known) ? std::next(known) : known_losses_.erase(known);
+        }
+    }
+    if (known_losses_.size() < max_known_losses)
+    {
+        known_losses_.insert(lost);
+    }
+}
+
+/** All that this instance agrees to is sent by this function, so that the losses that it states
+    were known to it when it agreed. */
+void consensus_core::send(message value)
+{
+    value.known_losses.assign(known_losses_.begin(), known_losses_.end());
+    value.counts_losses = true;
+    output_.messages.push_back(std::move(value));
 }
 
 std::uint64_t consensus_core::next_random()
@@ -159,24 +253,7 @@
 
 bool consensus_core::may_start_election() const
 {
-    if (is_voter())
-    {
-        return true;
-    }
-    const bool may_be_uncommitted = log_.voters_index() > commit_index_;
-    const std::vector<instance_id> previous =
-        may_be_uncommitted ? log_.previous_voters() : std::vector<instance_id>{};
-    return std::find(previous.begin(), previous.end(), identity_) != previous.end();
-}
-
-/** Its own vote counts only if it is a voter, as any other's. */
-void consensus_core::vote_for_itself()
-{
-    votes_.clear();
-    if (is_voter())
-    {
-        votes_.insert(identity_);
-    }
+    return contains(deciding_voters(), identity_);
 }
 
 void consensus_core::allow_resends(time_point now)
@@ -192,7 +269,7 @@
 
 void consensus_core::check_quorum(time_point now)
 {
-    if (!is_quorum(live_voters(now).size()))
+    if (!is_quorum(live_followers(now)))
     {
         become_follower(now, hard_state_.term, 0);
     }
@@ -219,7 +296,7 @@
 
 void consensus_core::request_votes(message_kind kind, term_number term)
 {
-    for (const instance_id voter : log_.voters())
+    for (const instance_id voter : deciding_voters())
     {
         if (voter == identity_)
         {
@@ -232,7 +309,7 @@
         request.term = term;
         request.index = log_.last_index();
         request.index_term = log_.last_term();
-        output_.messages.push_back(std::move(request));
+        send(std::move(request));
     }
 }
 
@@ -242,8 +319,8 @@
     role_ = consensus_role::candidate;
     in_pre_vote_ = true;
     leader_ = 0;
-    vote_for_itself();
-    if (is_quorum(votes_.size()))
+    votes_ = {{identity_, known_losses_}};
+    if (is_quorum(votes_))
     {
         start_election(now);
         return;
@@ -256,8 +333,8 @@
     in_pre_vote_ = false;
     ++hard_state_.term;
     hard_state_.voted_for = identity_;
-    vote_for_itself();
-    if (is_quorum(votes_.size()))
+    votes_ = {{identity_, known_losses_}};
+    if (is_quorum(votes_))
     {
         become_leader(now);
         return;
@@ -271,7 +348,7 @@
     leader_ = identity_;
     followers_.clear();
     learners_.clear();
-    for (const instance_id voter : log_.voters())
+    for (const instance_id voter : deciding_voters())
     {
         if (voter != identity_)
         {
@@ -342,6 +419,7 @@
     log_record record;
     record.kind = record_kind::membership;
     record.voters = voters;
+    record.counts_losses = all_count_losses(voters);
     append_as_leader(std::move(record));
     for (const instance_id voter : voters)
     {
@@ -413,7 +491,7 @@
     append.round = round_;
     append.records = log_.copy_from(progress.next_index, settings_.max_append_records,
                                     settings_.max_append_bytes);
-    output_.messages.push_back(std::move(append));
+    send(std::move(append));
 }
 
 void consensus_core::send_snapshot(instance_id to, follower_progress& progress)
@@ -427,7 +505,7 @@
     install.installed = log_.base();
     progress.next_index = log_.base().index + 1;
     progress.snapshot_in_flight = true;
-    output_.messages.push_back(std::move(install));
+    send(std::move(install));
 }
 
 bool consensus_core::has_recent_leader(time_point now) const
@@ -455,9 +533,13 @@
 
 void consensus_core::receive(time_point now, const message& received)
 {
-    if (received.to != identity_)
+    if (received.to != identity_ || known_losses_.count(received.from) != 0)
     {
-        return;
+        return; // A lost identity no longer counts, even if its disk should come back.
+    }
+    for (const instance_id lost : received.known_losses)
+    {
+        note_loss(lost);
     }
     const bool has_prospective_term =
         received.kind == message_kind::pre_vote ||
@@ -521,7 +603,7 @@
             reset_election_timer(now);
         }
     }
-    output_.messages.push_back(std::move(reply));
+    send(std::move(reply));
 }
 
 void consensus_core::handle_vote_reply(time_point now, const message& received)
@@ -533,13 +615,9 @@
     {
         return;
     }
-    const std::vector<instance_id>& voters = log_.voters();
-    if (std::find(voters.begin(), voters.end(), received.from) == voters.end())
-    {
-        return;
-    }
-    votes_.insert(received.from);
-    if (!is_quorum(votes_.size()))
+    votes_[received.from] = {received.known_losses.begin(), received.known_losses.end()};
+    votes_[identity_] = known_losses_;
+    if (!is_quorum(votes_))
     {
         return;
     }
@@ -558,7 +636,7 @@
     message reply = reply_to(received, message_kind::append_reply);
     if (received.term < hard_state_.term)
     {
-        output_.messages.push_back(std::move(reply));
+        send(std::move(reply));
         return;
     }
     become_follower(now, received.term, received.from);
@@ -568,7 +646,7 @@
     {
         reply.hint = std::min(log_.last_index(), received.index == 0 ? 0 : received.index - 1);
         reply.hint = std::max(reply.hint, log_.base().index);
-        output_.messages.push_back(std::move(reply));
+        send(std::move(reply));
         return;
     }
     log_index matched = received.index;
@@ -594,7 +672,7 @@
     reply.accepted = true;
     reply.hint = matched;
     raise_commit_index(std::min(received.commit, matched));
-    output_.messages.push_back(std::move(reply));
+    send(std::move(reply));
 }
 
 void consensus_core::handle_install_snapshot(time_point now, const message& received)
@@ -602,7 +680,7 @@
     message reply = reply_to(received, message_kind::append_reply);
     if (received.term < hard_state_.term)
     {
-        output_.messages.push_back(std::move(reply));
+        send(std::move(reply));
         return;
     }
     become_follower(now, received.term, received.from);
@@ -619,7 +697,7 @@
         persisted_index_ = commit_index_;
     }
     reply.hint = std::max(commit_index_, received.installed.index);
-    output_.messages.push_back(std::move(reply));
+    send(std::move(reply));
 }
 
 void consensus_core::handle_append_reply(time_point now, const message& received)
@@ -635,6 +713,8 @@
     progress.awaiting_reply = false;
     progress.snapshot_in_flight = false;
     progress.confirmed_round = std::max(progress.confirmed_round, received.round);
+    progress.known_losses = {received.known_losses.begin(), received.known_losses.end()};
+    progress.counts_losses = received.counts_losses;
     if (received.accepted)
     {
         progress.match_index = std::max(progress.match_index, received.hint);
@@ -660,30 +740,87 @@
     }
 }
 
+/** Highest index that a quorum holds, or zero. */
+log_index consensus_core::highest_agreed_index() const
+{
+    std::set<log_index, std::greater<>> held = {persisted_index_};
+    for (const auto& [id, progress] : followers_)
+    {
+        held.insert(progress.match_index);
+    }
+    for (const log_index index : held)
+    {
+        agreement agreeing = with_followers([index](const follower_progress& progress)
+                                            { return progress.match_index >= index; });
+        if (persisted_index_ < index)
+        {
+            agreeing.erase(identity_);
+        }
+        if (is_quorum(agreeing))
+        {
+            return index;
+        }
+    }
+    return 0;
+}
+
 void consensus_core::advance_commit(time_point now)
 {
     if (role_ != consensus_role::leader)
     {
         return;
     }
-    std::vector<log_index> match_indexes;
-    for (const instance_id voter : log_.voters())
+    const log_index agreed_index = highest_agreed_index();
+    if (agreed_index > commit_index_ && log_.term_at(agreed_index) == hard_state_.term)
+    {
+        raise_commit_index(agreed_index);
+        confirm_reads();
+        broadcast_append(now);
+    }
+    repeat_voters(now);
+    if (log_.voters_index() <= commit_index_ && !is_voter())
     {
-        match_indexes.push_back(voter == identity_ ? persisted_index_ : match_index_of(voter));
+        become_follower(now, hard_state_.term, 0);
     }
-    std::sort(match_indexes.begin(), match_indexes.end(), std::greater<>());
-    const log_index majority_index = match_indexes[match_indexes.size() / 2];
-    if (majority_index <= commit_index_ || log_.term_at(majority_index) != hard_state_.term)
+}
+
+/** Whether each voter has shown that its build counts losses, to this leader or to one that has
+    recorded it. */
+bool consensus_core::all_count_losses(const std::vector<instance_id>& voters) const
+{
+    const voter_list& newest = log_.newest_voters();
+    return std::all_of(voters.begin(), voters.end(),
+                       [this, &newest](instance_id voter)
+                       {
+                           const auto found = followers_.find(voter);
+                           return voter == identity_ ||
+                                  (newest.counts_losses && contains(newest.voters, voter)) ||
+                                  (found != followers_.end() && found->second.counts_losses);
+                       });
+}
+
+/** Repeats the voters in a record once their change is committed, so that each instance that has
+    the record knows that it is, and once all of them count losses. */
+void consensus_core::repeat_voters(time_point now)
+{
+    if (log_.voters_index() > commit_index_ || commit_index_ < term_start_index_)
     {
         return;
     }
-    raise_commit_index(majority_index);
-    confirm_reads();
-    broadcast_append(now);
-    if (log_.voters_index() <= commit_index_ && !is_voter())
+    const voter_list& newest = log_.newest_voters();
+    const voter_list previous = log_.previous_voters();
+    const bool is_known_committed = previous.voters.empty() || previous.voters == newest.voters;
+    const bool counts_losses = all_count_losses(newest.voters);
+    if (is_known_committed && newest.counts_losses == counts_losses)
     {
-        become_follower(now, hard_state_.term, 0);
+        return;
     }
+    log_record record;
+    record.kind = record_kind::membership;
+    record.voters = newest.voters;
+    record.counts_losses = counts_losses;
+    append_as_leader(std::move(record));
+    broadcast_append(now);
 }
 
 void consensus_core::raise_commit_index(log_index index)
@@ -699,15 +836,9 @@
     }
     while (!reads_.empty())
     {
-        std::size_t confirmed = 0;
-        for (const instance_id voter : log_.voters())
-        {
-            const auto found = followers_.find(voter);
-            confirmed +=
-                voter == identity_ || (found != followers_.end() &&
-                                       found->second.confirmed_round >= reads_.front().round);
-        }
-        if (!is_quorum(confirmed))
+        const std::uint64_t round = reads_.front().round;
+        if (!is_quorum(with_followers([round](const follower_progress& progress)
+                                      { return progress.confirmed_round >= round; })))
         {
             return;
         }
--- a/modules/carawayshelf_consensus/consensus_core.hpp
+++ b/modules/carawayshelf_consensus/consensus_core.hpp
@@ -2,9 +2,11 @@
 
 #include "carawayshelf_consensus/log_store.hpp"
 #include "carawayshelf_consensus/replicated_log.hpp"
+#include "carawayshelf_consensus/voter_quorum.hpp"
 #include "carawayshelf_core/clock_time.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -78,11 +80,16 @@
     Drive it with tick(), receive(), propose() and request_read(). After each call, carry out what
     take_output() returns until that is empty. Not thread-safe.
 
-    A candidate counts the votes of those instances only that its log lists as voters. An instance
-    that is not a voter starts no election, with one exception: one that a record which may be
-    uncommitted removes. Its log may be newer than those of the voters that don't have the record,
-    so that none of them wins without its vote, which it doesn't give. It can win by the votes of
-    the new voters, commits the record and steps down. The leader replicates the log to other
+    A change of the voters takes a quorum of the old voters and one of the new ones, in elections as
+    well, until the instance knows that the change is committed (Raft's joint consensus). The leader
+    then repeats the new voters in a record, so that an instance that restarts knows it too. What a
+    quorum is depends on the voters whose disks are known to be lost; see voter_quorum.hpp. These
+    count once all voters have shown that their build counts them.
+
+    An instance that is not a voter starts no election, with one exception: one that a record which
+    may be uncommitted removes. Its log may be newer than those of the voters that don't have the
+    record, so that none of them wins without its vote, which it doesn't give. It can win by the
+    votes of the others, commits the record and steps down. The leader replicates the log to other
     instances after add_learner().
 */
 class consensus_core
@@ -120,6 +127,11 @@
         the leader; a leader that steps down discards its learners. */
     void add_learner(instance_id learner);
 
+    /** Notes that the disk of another identity is lost, so that this identity never acts again. Has
+        no effect if too many are known. Precondition: an instance without that disk has run in its
+        slot. */
+    void note_loss(instance_id lost);
+
     /** Returns and clears the work that has accumulated since the last call. */
     consensus_output take_output();
 
@@ -160,6 +172,10 @@
         return log_;
     }
 
+    /** Returns the newest voters in the log and, while their change may be uncommitted, those that
+        were voters before. */
+    std::vector<instance_id> deciding_voters() const;
+
     /** Whether the newest voter list in the log includes this instance. */
     bool is_voter() const;
 
@@ -198,6 +214,9 @@
         time_point sent_at;
         time_point heard_at;
         std::uint64_t confirmed_round = 0; ///< Latest round that it replied to.
+        /** As of its last reply, by which it agreed once more to all that it had confirmed. */
+        std::set<instance_id> known_losses;
+        bool counts_losses = false;
     };
 
     struct pending_read
@@ -208,12 +227,16 @@
 
     void become_follower(time_point now, term_number term, instance_id leader);
     bool may_start_election() const;
-    void vote_for_itself();
     void start_pre_vote(time_point now);
     void start_election(time_point now);
     void become_leader(time_point now);
     bool is_heard_within(time_point now, instance_id follower, duration span) const;
     std::vector<instance_id> voters_heard_within(time_point now, duration span) const;
+    std::vector<voter_list> voter_lists() const;
+    agreement with_followers(const std::function<bool(const follower_progress&)>& agrees) const;
+    agreement live_followers(time_point now) const;
+    bool is_quorum(const agreement& agreeing) const;
+    void send(message value);
     void broadcast_append(time_point now);
     void send_append(time_point now, instance_id to, follower_progress& progress);
     void send_snapshot(instance_id to, follower_progress& progress);
@@ -225,6 +248,9 @@
     void store_records(const std::vector<log_record>& records);
     void append_as_leader(log_record record);
     void advance_commit(time_point now);
+    log_index highest_agreed_index() const;
+    bool all_count_losses(const std::vector<instance_id>& voters) const;
+    void repeat_voters(time_point now);
     void raise_commit_index(log_index index);
     void confirm_reads();
     void fail_reads();
@@ -232,7 +258,6 @@
     void check_quorum(time_point now);
     bool is_candidate_log_up_to_date(const message& received) const;
     bool has_recent_leader(time_point now) const;
-    bool is_quorum(std::size_t count) const;
     bool is_in_startup_phase(time_point now) const;
     void reset_election_timer(time_point now);
     std::size_t rank_among_voters() const;
@@ -254,7 +279,8 @@
     time_point election_deadline_;
     time_point heartbeat_deadline_;
     bool in_pre_vote_ = false;
-    std::set<instance_id> votes_;
+    agreement votes_;
+    std::set<instance_id> known_losses_;
 
     log_index commit_index_ = 0;
     log_index last_applied_ = 0;
--- a/modules/carawayshelf_consensus/message.hpp
+++ b/modules/carawayshelf_consensus/message.hpp
@@ -32,6 +32,8 @@
     record_kind kind = record_kind::no_op;
     std::string payload;             ///< For record_kind::payload.
     std::vector<instance_id> voters; ///< For record_kind::membership.
+    /** For record_kind::membership: the builds of all voters count losses; see voter_quorum.hpp. */
+    bool counts_losses = false;
 };
 
 /** Raft's persistent state apart from the log. It must be durable before a message that depends on
@@ -54,6 +56,7 @@
     term_number term = 0;            ///< Term of that record.
     std::vector<instance_id> voters; ///< Voters as of that record.
     std::string state;               ///< Encoded replicated state.
+    bool counts_losses = false;      ///< As in the record that lists the voters.
 };
 
 enum class message_kind
@@ -89,6 +92,9 @@
     std::uint64_t round = 0;
     std::vector<log_record> records;
     snapshot installed; ///< For install_snapshot.
+    /** Identities whose disks the sender knew to be lost when it sent this. */
+    std::vector<instance_id> known_losses;
+    bool counts_losses = false; ///< The sender's build does, see voter_quorum.hpp.
 };
 
 } // namespace carawayshelf
--- a/modules/carawayshelf_consensus/replicated_log.cpp
+++ b/modules/carawayshelf_consensus/replicated_log.cpp
@@ -6,6 +6,21 @@
 namespace carawayshelf
 {
 
+namespace
+{
+
+voter_list voters_of(const log_record& record)
+{
+    return {record.voters, record.counts_losses};
+}
+
+voter_list voters_of(const snapshot& base)
+{
+    return {base.voters, base.counts_losses};
+}
+
+} // namespace
+
 replicated_log::replicated_log(snapshot base, std::vector<log_record> records)
     : base_(std::move(base)),
       records_(std::make_move_iterator(records.begin()), std::make_move_iterator(records.end()))
@@ -61,14 +76,14 @@
 {
     if (record.kind == record_kind::membership)
     {
-        voters_ = record.voters;
+        voters_ = voters_of(record);
         voters_index_ = record.index;
     }
     payload_bytes_ += record.payload.size();
     records_.push_back(std::move(record));
 }
 
-std::vector<instance_id> replicated_log::previous_voters() const
+voter_list replicated_log::previous_voters() const
 {
     if (voters_index_ == base_.index)
     {
@@ -78,10 +93,10 @@
     {
         if (at(index).kind == record_kind::membership)
         {
-            return at(index).voters;
+            return voters_of(at(index));
         }
     }
-    return base_.voters;
+    return voters_of(base_);
 }
 
 void replicated_log::drop_front()
@@ -129,13 +144,13 @@
 
 void replicated_log::update_voters()
 {
-    voters_ = base_.voters;
+    voters_ = voters_of(base_);
     voters_index_ = base_.index;
     for (const log_record& record : records_)
     {
         if (record.kind == record_kind::membership)
         {
-            voters_ = record.voters;
+            voters_ = voters_of(record);
             voters_index_ = record.index;
         }
     }
--- a/modules/carawayshelf_consensus/replicated_log.hpp
+++ b/modules/carawayshelf_consensus/replicated_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carawayshelf_consensus/message.hpp"
+#include "carawayshelf_consensus/voter_quorum.hpp"
 
 #include <deque>
 #include <vector>
@@ -60,12 +61,18 @@
 
     /** Returns the voters of the newest membership record, or else of the snapshot. */
     const std::vector<instance_id>& voters() const
+    {
+        return voters_.voters;
+    }
+
+    /** Returns the same, and whether they count losses. */
+    const voter_list& newest_voters() const
     {
         return voters_;
     }
 
     /** Returns the voters before the newest membership record; none if that is the snapshot's. */
-    std::vector<instance_id> previous_voters() const;
+    voter_list previous_voters() const;
 
     /** Returns the payload bytes of all records. */
     std::size_t payload_bytes() const
@@ -86,7 +93,7 @@
 
     snapshot base_;
     std::deque<log_record> records_;
-    std::vector<instance_id> voters_;
+    voter_list voters_;
     log_index voters_index_ = 0;
     std::size_t payload_bytes_ = 0;
 };
--- a/modules/carawayshelf_io/control_server.cpp
+++ b/modules/carawayshelf_io/control_server.cpp
@@ -152,6 +152,10 @@
     membership_.set_identity(settings_.slot, stored.identity);
     core_ =
         std::make_unique<consensus_core>(consensus_settings{}, stored, random_seed(), steady_now());
+    for (const instance_id lost : lost_identities_)
+    {
+        core_->note_loss(lost);
+    }
     is_storage_available_ = true;
     has_been_confirmed_ = false;
     return {};
@@ -372,7 +376,7 @@
         const endpoint& address = settings_.peers[i];
         add_peer(settings_.discovers_peers ? address.address : static_cast<instance_slot>(i + 1));
     }
-    for (const instance_id voter : core_->log().voters())
+    for (const instance_id voter : core_->deciding_voters())
     {
         add_peer(slot_of(voter));
     }
@@ -495,10 +499,9 @@
     hello.hello->is_voter = core_->is_voter();
     hello.hello->checks_positions = true;
     hello.hello->is_stopping = is_stopping_;
-    for (const instance_id voter : core_->log().voters())
-    {
-        hello.hello->instances.push_back(voter);
-    }
+    hello.hello->instances = core_->deciding_voters();
+    hello.hello->replaced_identities.assign(replaced_identities_.begin(),
+                                            replaced_identities_.end());
     connection->send(hello);
 }
 
@@ -522,6 +525,8 @@
     {
         slots_checking_positions_.erase(hello.slot);
     }
+    note_replaced_identities(hello);
+    note_lost_identities(hello);
     add_peer(hello.slot);
     for (const instance_id named : hello.instances)
     {
@@ -530,6 +535,43 @@
     propose_due_voters();
 }
 
+/** Another identity of this slot in the list of voters belonged to a disk that is gone. Tells the
+    others, who can't know: an instance that they don't reach might still have that disk. */
+void control_server::note_replaced_identities(const buffers::peer_hello_object& hello)
+{
+    bool is_new = false;
+    for (const instance_id named : hello.instances)
+    {
+        if (slot_of(named) == settings_.slot && named != core_->identity())
+        {
+            is_new = replaced_identities_.insert(named).second || is_new;
+        }
+    }
+    if (!is_new)
+    {
+        return;
+    }
+    log_info("this instance has replaced one that lost its disk and is still named as a voter");
+    for (const connection_pointer& connection : peers_.connections())
+    {
+        send_hello(connection);
+    }
+}
+
+void control_server::note_lost_identities(const buffers::peer_hello_object& hello)
+{
+    for (const instance_id lost : hello.replaced_identities)
+    {
+        if (slot_of(lost) == hello.slot && lost != hello.identity &&
+            lost_identities_.insert(lost).second)
+        {
+            core_->note_loss(lost);
+            log_info("control instance " + std::to_string(hello.slot) +
+                     " has lost the disk of its identity " + std::to_string(lost));
+        }
+    }
+}
+
 control_server::connection_pointer control_server::connection_of(instance_id peer) const
 {
     const instance_slot slot = slot_of(peer);
@@ -701,6 +743,7 @@
     taken.index = applied;
     taken.term = core_->log().term_at(applied);
     taken.voters = core_->log().voters();
+    taken.counts_losses = core_->log().newest_voters().counts_losses;
     taken.state = encode_state(state_);
     if (failure failed = store_->save_snapshot(taken, true))
     {
--- a/modules/carawayshelf_io/control_server.hpp
+++ b/modules/carawayshelf_io/control_server.hpp
@@ -169,6 +169,8 @@
     void answer_probe(const connection_pointer& connection, std::uint64_t number);
     void send_hello(const connection_pointer& connection);
     void handle_hello(const buffers::peer_hello_object& hello);
+    void note_replaced_identities(const buffers::peer_hello_object& hello);
+    void note_lost_identities(const buffers::peer_hello_object& hello);
     void send_message(const message& value);
     connection_pointer connection_of(instance_id peer) const;
     void schedule_output_processing();
@@ -240,6 +242,10 @@
     membership_manager membership_;
     order_fence order_fence_;
     std::set<instance_slot> slots_checking_positions_; ///< Of other instances.
+    /** Identities of this slot whose disk this instance has replaced, as far as others named them.
+     */
+    std::set<instance_id> replaced_identities_;
+    std::set<instance_id> lost_identities_; ///< Of other instances; for consensus_core.
     pause_monitor pauses_;
     lease_table leases_;
     restart_state_store restart_states_;
--- a/modules/carawayshelf_wire/frame_codec.cpp
+++ b/modules/carawayshelf_wire/frame_codec.cpp
@@ -20,6 +20,7 @@
     packed->kind = static_cast<std::uint8_t>(value.kind);
     packed->payload.assign(value.payload.begin(), value.payload.end());
     packed->voters = value.voters;
+    packed->counts_losses = value.counts_losses;
     return packed;
 }
 
@@ -35,6 +36,7 @@
     value.kind = static_cast<record_kind>(packed.kind);
     value.payload.assign(packed.payload.begin(), packed.payload.end());
     value.voters = packed.voters;
+    value.counts_losses = packed.counts_losses;
     return value;
 }
 
@@ -44,6 +46,7 @@
     packed->index = value.index;
     packed->term = value.term;
     packed->voters = value.voters;
+    packed->counts_losses = value.counts_losses;
     packed->state.assign(value.state.begin(), value.state.end());
     return packed;
 }
@@ -54,6 +57,7 @@
     value.index = packed.index;
     value.term = packed.term;
     value.voters = packed.voters;
+    value.counts_losses = packed.counts_losses;
     value.state.assign(packed.state.begin(), packed.state.end());
     return value;
 }
@@ -151,6 +155,8 @@
     {
         packed->installed = pack_snapshot(value.installed);
     }
+    packed->known_losses = value.known_losses;
+    packed->counts_losses = value.counts_losses;
     return packed;
 }
 
@@ -185,6 +191,8 @@
     {
         value.installed = unpack_snapshot(*packed.installed);
     }
+    value.known_losses = packed.known_losses;
+    value.counts_losses = packed.counts_losses;
     return value;
 }
 
--- a/tests/fakes/membership_simulation.cpp
+++ b/tests/fakes/membership_simulation.cpp
@@ -141,6 +141,7 @@
             {
                 item.manager->set_identity(other.slot, other.core->identity());
                 item.manager->set_stopping(other.slot, other.is_stopping);
+                note_replaced_identities(item, other);
             }
             else if (other.has_closed_connections || now_ - other.stopped_at >= probe_timeout)
             {
@@ -150,6 +151,18 @@
     }
 }
 
+/** As control_server does: an instance says which of the voters had its slot before. */
+void membership_simulation::note_replaced_identities(instance& item, const instance& other)
+{
+    for (const instance_id voter : item.core->deciding_voters())
+    {
+        if (slot_of(voter) == other.slot && voter != other.core->identity())
+        {
+            item.core->note_loss(voter);
+        }
+    }
+}
+
 void membership_simulation::step()
 {
     now_ += tick_interval;
--- a/tests/fakes/membership_simulation.hpp
+++ b/tests/fakes/membership_simulation.hpp
@@ -84,6 +84,7 @@
     void step();
     void end_if_stopped(std::size_t position);
     void exchange_identities();
+    static void note_replaced_identities(instance& item, const instance& other);
     void process_output(instance& item);
     void stop(std::size_t position, bool closes_connections);
 
--- a/tests/unit/control_replacement_test.cpp
+++ b/tests/unit/control_replacement_test.cpp
@@ -218,6 +218,38 @@
     }
 }
 
+/** Guards against a control cluster that ends (review/13): a replaced instance goes without notice,
+    and another one loses its disk at the same moment. With real sockets; the successor's disk, too.
+ */
+BOOST_AUTO_TEST_CASE(a_disk_can_be_lost_at_the_moment_at_which_a_replaced_instance_goes)
+{
+    for (const bool successor_is_lost : {false, true})
+    {
+        for (const bool leader_goes : {false, true})
+        {
+            cluster test_cluster;
+            BOOST_REQUIRE(test_cluster.replace_until_accepted(0, 1, "one"));
+            const std::size_t successor = test_cluster.add_instance();
+            const std::size_t leading = test_cluster.leader();
+            const std::size_t gone = leader_goes ? leading : (leading + 1) % 3;
+            const std::size_t lost = successor_is_lost ? successor : (leading + 2) % 3;
+            const std::size_t last = leader_goes ? (gone + 1) % 3 : leading;
+            BOOST_REQUIRE(test_cluster.replace_until_accepted(lost, 2, "two"));
+            test_cluster.kill(gone);
+            test_cluster.kill(lost);
+            std::filesystem::remove_all(test_cluster.all_settings[lost].data_folder);
+            test_cluster.all_settings[lost].is_first_start = false;
+            test_cluster.run_for(std::chrono::milliseconds(500));
+            test_cluster.start(lost);
+            BOOST_TEST(
+                test_cluster.run_until([&] { return test_cluster.read(last).content == "two"; }));
+            BOOST_TEST(test_cluster.replace_until_accepted(lost, 3, "three"));
+            BOOST_TEST(test_cluster.run_until([&] { return test_cluster.voters().size() == 3U; }));
+            BOOST_TEST(!test_cluster.is_voter(test_cluster.all_settings[gone].slot));
+        }
+    }
+}
+
 /** SIGHUP was only logged by daemons of packet flows, and ended the others. */
 BOOST_AUTO_TEST_CASE(sighup_makes_a_daemon_reload_and_run_on)
 {
--- a/tests/unit/membership_test.cpp
+++ b/tests/unit/membership_test.cpp
@@ -69,6 +69,112 @@
     return all;
 }
 
+/** A successor is in use, and then an instance goes for good while the disks of others are lost. */
+struct abrupt_replacement
+{
+    std::size_t gone = 0;
+    bool closes_connections = true; ///< Otherwise it just falls silent.
+    std::vector<std::size_t> wiped;
+    duration wiped_after{0};  ///< Since the instance has gone; negative if before.
+    bool all_restart = false; ///< The others, while the lost disks are not back yet.
+};
+
+std::vector<abrupt_replacement> all_abrupt_replacements(std::size_t tolerated)
+{
+    const std::size_t instances = 2 * tolerated + 2;
+    std::vector<abrupt_replacement> all;
+    for (unsigned wiped = 0; wiped < (1U << instances); ++wiped)
+    {
+        abrupt_replacement tried;
+        for (std::size_t i = 0; i < instances; ++i)
+        {
+            if ((wiped >> i & 1U) != 0)
+            {
+                tried.wiped.push_back(i);
+            }
+        }
+        for (tried.gone = 0; tried.gone < instances; ++tried.gone)
+        {
+            if (tried.wiped.size() != tolerated || (wiped >> tried.gone & 1U) != 0)
+            {
+                continue;
+            }
+            for (const int delay_ms : {-500, -100, 0, 10, 100, 250, 400, 600})
+            {
+                tried.wiped_after = std::chrono::milliseconds(delay_ms);
+                for (const bool flag : {false, true})
+                {
+                    tried.closes_connections = !flag;
+                    tried.all_restart = flag;
+                    all.push_back(tried);
+                }
+                tried.closes_connections = true;
+                all.push_back(tried);
+            }
+        }
+    }
+    return all;
+}
+
+std::string describe(const abrupt_replacement& tried, std::size_t tolerated)
+{
+    return std::to_string(tolerated) + " tolerated, gone " + std::to_string(tried.gone) +
+           (tried.closes_connections ? "" : " silently") + ", wiped " + join(tried.wiped) +
+           "after " +
+           std::to_string(
+               std::chrono::duration_cast<std::chrono::milliseconds>(tried.wiped_after).count()) +
+           " ms" + (tried.all_restart ? ", all restart" : "");
+}
+
+/** Whether all that was written is served within the recovery time after the lost disks' instances
+    are back, and one more instance can go dark then. */
+bool survives(const abrupt_replacement& tried, std::size_t tolerated)
+{
+    membership_simulation cluster(2 * tolerated + 1, tolerated);
+    const std::size_t instances = cluster.add() + 1;
+    cluster.run(std::chrono::milliseconds(4500));
+    if (!cluster.write(one_second))
+    {
+        return false;
+    }
+    const auto go = [&]
+    {
+        tried.closes_connections ? cluster.kill(tried.gone) : cluster.silence(tried.gone);
+    };
+    const auto wipe = [&]
+    {
+        for (const std::size_t position : tried.wiped)
+        {
+            cluster.lose_disk(position);
+        }
+    };
+    tried.wiped_after < duration(0) ? wipe() : go();
+    cluster.run(std::max(tried.wiped_after, -tried.wiped_after));
+    tried.wiped_after < duration(0) ? go() : wipe();
+    cluster.run(std::chrono::milliseconds(300));
+    for (std::size_t i = 0; tried.all_restart && i < instances; ++i)
+    {
+        if (cluster.is_running(i))
+        {
+            cluster.kill(i);
+            cluster.start(i);
+        }
+    }
+    cluster.run(std::chrono::milliseconds(700));
+    for (const std::size_t position : tried.wiped)
+    {
+        cluster.start(position);
+    }
+    cluster.run(recovery_time);
+    if (!cluster.serves_all_written() || cluster.voters().size() != 2 * tolerated + 1)
+    {
+        return false;
+    }
+    cluster.silence(tried.wiped.front());
+    cluster.run(one_second * 2);
+    return cluster.serves_all_written();
+}
+
 /** Random losses and replacements, of which no more disks are lost at the same time than tolerated,
     while any number of other instances are dark. A lost disk counts until its instance or successor
     has run for the catch-up time, with no more instances lost than tolerated. */
@@ -462,6 +568,29 @@
     }
 }
 
+/** Guards against a control cluster that ends when a replaced instance goes without notice and
+    tolerated disks are lost before it counts as lost (review/13): any instance, any disks, the
+    successor's as well, in any order, also if all others restart in between. */
+BOOST_AUTO_TEST_CASE(disks_can_be_lost_at_the_moment_at_which_a_replaced_instance_goes)
+{
+    std::size_t plays = 0;
+    std::size_t failed = 0;
+    for (const std::size_t tolerated : {std::size_t{1}, std::size_t{2}})
+    {
+        for (const abrupt_replacement& tried : all_abrupt_replacements(tolerated))
+        {
+            ++plays;
+            if (!survives(tried, tolerated))
+            {
+                ++failed;
+                BOOST_TEST_MESSAGE(describe(tried, tolerated) << " failed");
+            }
+        }
+    }
+    BOOST_TEST_MESSAGE(plays << " plays");
+    BOOST_TEST(failed == 0U);
+}
+
 /** The first of two silent voters is gone for good and replaced, the second one has just lost
     power. If the second were removed instead, its disk would be missing when two others are lost.
     The instances that noticed lead one after the other, so that the last leader has led for no
--- a/tests/unit/storage_test.cpp
+++ b/tests/unit/storage_test.cpp
@@ -153,6 +153,26 @@
     BOOST_TEST(stored.records[0].index == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(voters_that_count_losses_are_stored_as_such)
+{
+    log_record listing = record(3, 1);
+    listing.kind = record_kind::membership;
+    listing.payload.clear();
+    listing.voters = {1, 9};
+    listing.counts_losses = true;
+    {
+        file_log_store store(folder, 2);
+        BOOST_REQUIRE(!store.load(stored));
+        BOOST_REQUIRE(!store.save_snapshot({2, 1, {9}, "state", true}, true));
+        BOOST_REQUIRE(!store.append({listing}));
+        BOOST_REQUIRE(!store.sync());
+    }
+    BOOST_REQUIRE(!load(stored));
+    BOOST_TEST(stored.base.counts_losses);
+    BOOST_REQUIRE(stored.records.size() == 1U);
+    BOOST_TEST(stored.records[0].counts_losses);
+}
+
 BOOST_AUTO_TEST_CASE(a_folder_that_cannot_be_created_is_a_typed_error)
 {
     file_log_store store(folder + "/missing/deeper", 1);
