--- a/modules/carawayshelf_consensus/consensus_core.cpp
+++ b/modules/carawayshelf_consensus/consensus_core.cpp
@@ -1,7 +1,6 @@
 #include "carawayshelf_consensus/consensus_core.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace carawayshelf
@@ -13,14 +12,6 @@
 /** Time without a reply after which a snapshot is sent again. */
 constexpr duration snapshot_resend_interval = std::chrono::seconds(2);
 
-/** Lost identities that an instance remembers; those that are not voters are forgotten first. */
-constexpr std::size_t max_known_losses = 64;
-
-bool contains(const std::vector<instance_id>& instances, instance_id searched)
-{
-    return std::find(instances.begin(), instances.end(), searched) != instances.end();
-}
-
 } // namespace
 
 consensus_core::consensus_core(const consensus_settings& settings, const stored_state& stored,
@@ -51,14 +42,9 @@
     return true;
 }
 
-bool consensus_core::is_voter() const
-{
-    return contains(log_.voters(), identity_);
-}
-
 bool consensus_core::has_active_leader(time_point now) const
 {
-    return role_ == consensus_role::leader ? is_quorum(live_followers(now))
+    return role_ == consensus_role::leader ? is_quorum(live_agreement(now))
                                            : has_recent_leader(now);
 }
 
@@ -107,88 +93,6 @@
     return live;
 }
 
-/** The lists of voters that must each agree: the old voters as well while their change may be
-    uncommitted. */
-std::vector<voter_list> consensus_core::voter_lists() const
-{
-    std::vector<voter_list> lists = {log_.newest_voters()};
-    if (log_.voters_index() > commit_index_)
-    {
-        voter_list previous = log_.previous_voters();
-        if (!previous.voters.empty() && previous.voters != log_.voters())
-        {
-            lists.push_back(std::move(previous));
-        }
-    }
-    return lists;
-}
-
-std::vector<instance_id> consensus_core::deciding_voters() const
-{
-    std::vector<instance_id> all;
-    for (const voter_list& list : voter_lists())
-    {
-        for (const instance_id voter : list.voters)
-        {
-            if (!contains(all, voter))
-            {
-                all.push_back(voter);
-            }
-        }
-    }
-    return all;
-}
-
-bool consensus_core::is_quorum(const agreement& agreeing) const
-{
-    const std::vector<voter_list> lists = voter_lists();
-    return std::all_of(lists.begin(), lists.end(),
-                       [&agreeing](const voter_list& list)
-                       { return is_quorum_of(list, agreeing); });
-}
-
-/** This instance and the followers for which the predicate is true. */
-agreement
-consensus_core::with_followers(const std::function<bool(const follower_progress&)>& agrees) const
-{
-    agreement agreeing;
-    agreeing[identity_] = known_losses_;
-    for (const auto& [id, progress] : followers_)
-    {
-        if (agrees(progress))
-        {
-            agreeing[id] = progress.known_losses;
-        }
-    }
-    return agreeing;
-}
-
-agreement consensus_core::live_followers(time_point now) const
-{
-    return with_followers([this, now](const follower_progress& progress)
-                          { return now - progress.heard_at < settings_.election_timeout; });
-}
-
-void consensus_core::note_loss(instance_id lost)
-{
-    if (lost == identity_)
-    {
-        return;
-    }
-    if (known_losses_.size() >= max_known_losses)
-    {
-        const std::vector<instance_id> voters = deciding_voters();
-        for (auto known = known_losses_.begin(); known != known_losses_.end();)
-        {
-            known = contains(voters, *known) ? std::next(known) : known_losses_.erase(known);
-        }
-    }
-    if (known_losses_.size() < max_known_losses)
-    {
-        known_losses_.insert(lost);
-    }
-}
-
 /** All that this instance agrees to is sent by this function, so that the losses that it states
     were known to it when it agreed. */
 void consensus_core::send(message value)
@@ -269,7 +173,7 @@
 
 void consensus_core::check_quorum(time_point now)
 {
-    if (!is_quorum(live_followers(now)))
+    if (!is_quorum(live_agreement(now)))
     {
         become_follower(now, hard_state_.term, 0);
     }
@@ -397,41 +301,6 @@
     return log_.last_index();
 }
 
-bool consensus_core::propose_voters(time_point now, const std::vector<instance_id>& voters)
-{
-    if (role_ != consensus_role::leader || log_.voters_index() > commit_index_ ||
-        commit_index_ < term_start_index_)
-    {
-        return false;
-    }
-    std::set<instance_id> changed(voters.begin(), voters.end());
-    for (const instance_id voter : log_.voters())
-    {
-        if (changed.erase(voter) == 0)
-        {
-            changed.insert(voter);
-        }
-    }
-    if (changed.size() != 1 || voters.empty())
-    {
-        return false;
-    }
-    log_record record;
-    record.kind = record_kind::membership;
-    record.voters = voters;
-    record.counts_losses = all_count_losses(voters);
-    append_as_leader(std::move(record));
-    for (const instance_id voter : voters)
-    {
-        if (voter != identity_ && followers_.count(voter) == 0)
-        {
-            followers_[voter].heard_at = now;
-        }
-    }
-    broadcast_append(now);
-    return true;
-}
-
 void consensus_core::add_learner(instance_id learner)
 {
     if (role_ != consensus_role::leader || learner == identity_ || followers_.count(learner) != 0)
@@ -750,8 +619,8 @@
     }
     for (const log_index index : held)
     {
-        agreement agreeing = with_followers([index](const follower_progress& progress)
-                                            { return progress.match_index >= index; });
+        agreement agreeing = collect_agreement([index](const follower_progress& progress)
+                                               { return progress.match_index >= index; });
         if (persisted_index_ < index)
         {
             agreeing.erase(identity_);
@@ -784,45 +653,6 @@
     }
 }
 
-/** Whether each voter has shown that its build counts losses, to this leader or to one that has
-    recorded it. */
-bool consensus_core::all_count_losses(const std::vector<instance_id>& voters) const
-{
-    const voter_list& newest = log_.newest_voters();
-    return std::all_of(voters.begin(), voters.end(),
-                       [this, &newest](instance_id voter)
-                       {
-                           const auto found = followers_.find(voter);
-                           return voter == identity_ ||
-                                  (newest.counts_losses && contains(newest.voters, voter)) ||
-                                  (found != followers_.end() && found->second.counts_losses);
-                       });
-}
-
-/** Repeats the voters in a record once their change is committed, so that each instance that has
-    the record knows that it is, and once all of them count losses. */
-void consensus_core::repeat_voters(time_point now)
-{
-    if (log_.voters_index() > commit_index_ || commit_index_ < term_start_index_)
-    {
-        return;
-    }
-    const voter_list& newest = log_.newest_voters();
-    const voter_list previous = log_.previous_voters();
-    const bool is_known_committed = previous.voters.empty() || previous.voters == newest.voters;
-    const bool counts_losses = all_count_losses(newest.voters);
-    if (is_known_committed && newest.counts_losses == counts_losses)
-    {
-        return;
-    }
-    log_record record;
-    record.kind = record_kind::membership;
-    record.voters = newest.voters;
-    record.counts_losses = counts_losses;
-    append_as_leader(std::move(record));
-    broadcast_append(now);
-}
-
 void consensus_core::raise_commit_index(log_index index)
 {
     commit_index_ = std::max(commit_index_, std::min(index, log_.last_index()));
@@ -837,8 +667,8 @@
     while (!reads_.empty())
     {
         const std::uint64_t round = reads_.front().round;
-        if (!is_quorum(with_followers([round](const follower_progress& progress)
-                                      { return progress.confirmed_round >= round; })))
+        if (!is_quorum(collect_agreement([round](const follower_progress& progress)
+                                         { return progress.confirmed_round >= round; })))
         {
             return;
         }
--- a/modules/carawayshelf_consensus/consensus_core.hpp
+++ b/modules/carawayshelf_consensus/consensus_core.hpp
@@ -232,10 +232,6 @@
     void become_leader(time_point now);
     bool is_heard_within(time_point now, instance_id follower, duration span) const;
     std::vector<instance_id> voters_heard_within(time_point now, duration span) const;
-    std::vector<voter_list> voter_lists() const;
-    agreement with_followers(const std::function<bool(const follower_progress&)>& agrees) const;
-    agreement live_followers(time_point now) const;
-    bool is_quorum(const agreement& agreeing) const;
     void send(message value);
     void broadcast_append(time_point now);
     void send_append(time_point now, instance_id to, follower_progress& progress);
@@ -249,8 +245,6 @@
     void append_as_leader(log_record record);
     void advance_commit(time_point now);
     log_index highest_agreed_index() const;
-    bool all_count_losses(const std::vector<instance_id>& voters) const;
-    void repeat_voters(time_point now);
     void raise_commit_index(log_index index);
     void confirm_reads();
     void fail_reads();
@@ -265,6 +259,14 @@
     message reply_to(const message& received, message_kind kind) const;
     std::uint64_t next_random();
 
+    // Voters and quorums, in consensus_core_voters.cpp.
+    std::vector<voter_list> voter_lists() const;
+    agreement collect_agreement(const std::function<bool(const follower_progress&)>& agrees) const;
+    agreement live_agreement(time_point now) const;
+    bool is_quorum(const agreement& agreeing) const;
+    bool all_count_losses(const std::vector<instance_id>& voters) const;
+    void repeat_voters(time_point now);
+
     consensus_settings settings_;
     instance_id identity_;
     hard_state hard_state_;
--- a/modules/carawayshelf_consensus/membership_manager.cpp
+++ b/modules/carawayshelf_consensus/membership_manager.cpp
@@ -20,11 +20,6 @@
 /** The same while the voters that answer bear fewer losses than are tolerated. */
 constexpr duration surplus_voter_timeout = std::chrono::milliseconds(200);
 
-bool contains(const std::vector<instance_id>& voters, instance_id identity)
-{
-    return std::find(voters.begin(), voters.end(), identity) != voters.end();
-}
-
 std::vector<instance_id> without(std::vector<instance_id> voters, instance_id removed)
 {
     voters.erase(std::remove(voters.begin(), voters.end(), removed), voters.end());
--- a/modules/carawayshelf_consensus/voter_quorum.hpp
+++ b/modules/carawayshelf_consensus/voter_quorum.hpp
@@ -20,6 +20,9 @@
     bool counts_losses = false; ///< See log_record::counts_losses.
 };
 
+/** Whether a list includes an instance. Thread-safe. */
+bool contains(const std::vector<instance_id>& instances, instance_id searched);
+
 /** Whether the instances that agree are a quorum of the voters: more than half of them or, of an
     even number of voters that count losses, one half, each of which knew the same voter to be lost.
 
