--- a/modules/carawayshelf_consensus/consensus_core_voters.cpp
+++ b/modules/carawayshelf_consensus/consensus_core_voters.cpp
@@ -82,7 +82,7 @@
 agreement consensus_core::live_agreement(time_point now) const
 {
     return collect_agreement([this, now](const follower_progress& progress)
-                          { return now - progress.heard_at < settings_.election_timeout; });
+                             { return now - progress.heard_at < settings_.election_timeout; });
 }
 
 void consensus_core::note_loss(instance_id lost)
